--- a/src/bin/tansyvale-drill.rs
+++ b/src/bin/oakshed-wirehost.rs
@@ -6,8 +6,8 @@
 fn main() {
     let input = BufReader::with_capacity(1 << 16, std::io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, std::io::stdout().lock());
-    if let Err(error) = tansyvale::wire::serve(input, output) {
-        eprintln!("tansyvale-drill: {error}");
+    if let Err(error) = oakshed::wire::serve(input, output) {
+        eprintln!("oakshed-wirehost: {error}");
         std::process::exit(1);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,8 @@
 //! Feed events to a [`Dispatcher`] and, once per batch, carry out the actions that it gives:
 //!
 //! ```
-//! use tansyvale::interface::*;
-//! use tansyvale::Dispatcher;
+//! use oakshed::interface::*;
+//! use oakshed::Dispatcher;
 //!
 //! let class = Class {
 //!     aim: 400_000, stretch: 2.0, deadline: 5_000_000, worth: 1.0, priority: 0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small harness around a dispatcher: settings, a list of workers, and its actions.
 #![allow(dead_code)]
 
-use tansyvale::interface::*;
-use tansyvale::Dispatcher;
+use oakshed::interface::*;
+use oakshed::Dispatcher;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 50_000_000;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use tansyvale::interface::*;
-use tansyvale::Dispatcher;
+use oakshed::interface::*;
+use oakshed::Dispatcher;
 
 /// Fills one worker with jobs until the next one is held.
 fn fill(bench: &mut Bench, class: u32) -> Vec<RequestId> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,10 +5,10 @@
 use std::collections::HashMap;
 
 use common::*;
+use oakshed::interface::*;
+use oakshed::Dispatcher;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use tansyvale::interface::*;
-use tansyvale::Dispatcher;
 
 #[derive(Clone, Debug)]
 enum Step {
