--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,95 @@
+//! What the program is told at its start: the ROUTER_* variables and the JSON file that one of
+//! them names.
+//!
+//! It owns the reading and checking of both; the settings in the file are read by wire.rs, the
+//! same for both programs. It must never guess: a value that cannot be used is named in one line,
+//! and the program does not start.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::facade::Settings;
+use crate::net::director::Answer;
+use crate::wire::{self, Names};
+
+/// The fewest descriptors with which anything can be served.
+const LEAST_SOCKETS: usize = 64;
+
+/// What the program is told.
+#[derive(Debug)]
+pub struct Config {
+    /// The scheduler's name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The director's address.
+    pub director: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list as last held, in the director's form.
+    pub known: Option<Answer>,
+    /// The settings of the decisions.
+    pub settings: Settings,
+    /// Names of classes, tenants, zones and machine kinds.
+    pub names: Rc<Names>,
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<Limits>,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+    #[serde(borrow)]
+    settings: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// Reads the environment (`var` looks a variable up) and the file that it names. A variable
+    /// counts before the same value in the file.
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+        let wrong = |what: &dyn Display| format!("ROUTER_CONFIG {path}: {what}").replace('\n', " ");
+        let text = std::fs::read_to_string(&path).map_err(|e| wrong(&e))?;
+        let file: File = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
+        let address = |variable: &str, field: &str, in_file: &Option<String>| {
+            let (name, value) = match var(variable) {
+                Some(value) => (variable, value),
+                None => (field, in_file.clone().ok_or(format!("neither {variable} nor '{field}' is given"))?),
+            };
+            value.parse().map_err(|_| format!("{name} is not an address and port: '{value}'"))
+        };
+        let seed = file.seed.ok_or_else(|| wrong(&"no 'seed'"))?;
+        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(1_024);
+        if sockets < LEAST_SOCKETS {
+            return Err(wrong(&format_args!("limits.sockets {sockets} is under {LEAST_SOCKETS}")));
+        }
+        let known = file.known.map(|raw| Answer::parse(raw.get().as_bytes()));
+        let settings = file.settings.ok_or_else(|| wrong(&"no 'settings'"))?;
+        let (settings, names) = wire::settings_and_names(settings.get()).map_err(|e| wrong(&e))?;
+        Ok(Config {
+            name: var("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".into()),
+            listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
+            director: address("ROUTER_DISCOVERY", "discovery", &file.discovery)?,
+            seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong(&"'seed' is not a hexadecimal number"))?,
+            sockets,
+            known: known.transpose().map_err(|e| wrong(&format_args!("known: {e}")))?,
+            settings,
+            names: Rc::new(names),
+        })
+    }
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,465 @@
+//! The blocking-style front of the decision module: a req is taken in, `pick` gives its next step
+//! and waits while the job is held, `report` takes what was seen, and `tick` runs the timer.
+//!
+//! It owns the numbering of reqs and fetches, the names of backends, and the one final answer of
+//! each req. The module's events, actions and ids never leave this file. It must never decide
+//! anything, read a clock (time is passed in), or know of sockets, HTTP or an async runtime: a
+//! waiting `pick` keeps only the standard library's [`Waker`].
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use rustc_hash::FxHashMap;
+
+use crate::interface::{Action, Ending, Event, Report, RequestId, Row, WorkerId};
+pub use crate::interface::{Condition, ListKind, Micros, Settings, SettingsError};
+use crate::wire::worker_id;
+use crate::Dispatcher;
+
+/// A req that was taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Req(u64);
+
+/// What the decisions need to know of a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// Its class, as an index of the settings.
+    pub class: u32,
+    /// Its tenant, as an index of the settings, where it names a known one.
+    pub tenant: Option<u32>,
+    /// Slots it takes.
+    pub slots: Option<f64>,
+    /// Memory it takes.
+    pub memory: Option<f64>,
+    /// What it needs at a backend.
+    pub key: Option<u64>,
+    /// Expected work.
+    pub hint: Option<Micros>,
+    /// Time left before the client gives up.
+    pub remaining: Micros,
+}
+
+/// What to do next for a req.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Fetch number `fetch` goes to a backend, and is given up at `until`.
+    Fetch {
+        /// Counted from 0 for each req.
+        fetch: usize,
+        /// The backend's name in the director's list.
+        backend: Rc<str>,
+        /// When it has timed out.
+        until: Micros,
+    },
+    /// Final: the result of this fetch is the answer.
+    Serve {
+        /// Which one.
+        fetch: usize,
+    },
+    /// Final: a synthetic answer that tells the client to come again, perhaps after a while.
+    Synthetic {
+        /// How long to stay away.
+        retry_after: Option<Micros>,
+    },
+    /// Final: failed, nothing promised.
+    Fail,
+    /// Stop waiting for this fetch, and report it as [`Outcome::Revoked`].
+    Drop {
+        /// Which one.
+        fetch: usize,
+    },
+}
+
+/// How a fetch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A result came.
+    Served,
+    /// The backend answered with an error; it may have run.
+    Error,
+    /// Turned away or handed back unstarted; it never ran.
+    Shed,
+    /// Nothing came in time; it may have run.
+    Expired,
+    /// Provably not all of it was written; it never ran.
+    DialFailed,
+    /// The connection or the job was lost; it may have run.
+    Dropped,
+    /// Given up on [`Step::Drop`]; it may have run.
+    Revoked,
+    /// Not sent at all, for a reason that is not the backend's.
+    Unused,
+}
+
+/// A backend's load, as far as it was told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Free slots.
+    pub free_slots: Option<f64>,
+    /// Free memory units.
+    pub free_memory: Option<f64>,
+    /// Requests in hand.
+    pub outstanding: Option<f64>,
+    /// Requests waiting.
+    pub backlog: Option<f64>,
+}
+
+/// One entry of the director's list, with names resolved to the settings' indices.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The backend's name, the same at every scheduler.
+    pub backend: Rc<str>,
+    /// Its zone.
+    pub zone: u32,
+    /// Its machine kind.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub condition: Condition,
+    /// When it last started; 0: long ago.
+    pub online_since: Micros,
+}
+
+/// Something that was seen.
+#[derive(Clone, Copy, Debug)]
+pub enum Seen<'a> {
+    /// News of the director's list; no entries where the call failed.
+    List(ListKind, &'a [Entry]),
+    /// The job of a fetch started to run.
+    Started(Req, usize),
+    /// The job of a fetch makes progress.
+    Progress(Req, usize),
+    /// A fetch ended.
+    Ended(Req, usize, Outcome, Option<Load>),
+    /// A probe came back; no load where it failed.
+    Probed(&'a Rc<str>, bool, Option<Load>),
+}
+
+/// What is due besides the steps of reqs.
+#[derive(Debug, Default, PartialEq)]
+pub struct Due {
+    /// When to call `tick` next, unless it is woken before.
+    pub next: Option<Micros>,
+    /// Subscribe to the director's list anew.
+    pub subscribe: bool,
+    /// Backends whose load to ask for.
+    pub probes: Vec<Rc<str>>,
+}
+
+/// Counts of what was answered, and of what should have been impossible.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Reqs taken in.
+    pub taken: u64,
+    /// Final answers by kind.
+    pub served: u64,
+    /// Synthetic answers.
+    pub synthetic: u64,
+    /// Failed reqs.
+    pub failed: u64,
+    /// Clients that went away first.
+    pub gone: u64,
+    /// Fetches begun.
+    pub fetches: u64,
+    /// Fetches by how they ended, in the order of [`Outcome`].
+    pub ended: [u64; 8],
+    /// Broken assumptions; asserted in debug builds.
+    pub broken: u64,
+}
+
+/// A req as this file knows it.
+struct Open {
+    steps: VecDeque<Step>,
+    waker: Option<Waker>,
+    /// The backend of each fetch; `None` once it has ended.
+    fetches: Vec<Option<WorkerId>>,
+    deadline: Micros,
+    /// Its final answer has been given out, or nobody waits for one.
+    over: bool,
+    /// Its handler is gone.
+    closed: bool,
+}
+
+/// The decisions of one scheduler behind `take`, `pick`, `report` and `tick`.
+pub struct Facade {
+    dispatcher: Dispatcher,
+    actions: Vec<Action>,
+    reqs: FxHashMap<u64, Open>,
+    backends: FxHashMap<WorkerId, Rc<str>>,
+    last: u64,
+    wake_at: Option<Micros>,
+    due: Due,
+    timer: Option<Waker>,
+    tally: Tally,
+}
+
+impl Facade {
+    /// A facade that knows no backends yet; `seed` is the only source of randomness.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        Ok(Facade {
+            dispatcher: Dispatcher::new(settings, seed)?,
+            actions: Vec::new(),
+            reqs: FxHashMap::default(),
+            backends: FxHashMap::default(),
+            last: 0,
+            wake_at: None,
+            due: Due::default(),
+            timer: None,
+            tally: Tally::default(),
+        })
+    }
+
+    /// Takes a req in: from here on it is owed one final answer, which `pick` will give.
+    pub fn take(&mut self, now: Micros, job: &Job) -> Req {
+        self.last += 1;
+        self.tally.taken += 1;
+        let open = Open {
+            steps: VecDeque::new(),
+            waker: None,
+            fetches: Vec::new(),
+            deadline: now + job.remaining,
+            over: false,
+            closed: false,
+        };
+        self.reqs.insert(self.last, open);
+        let event = Event::Request {
+            id: RequestId(self.last.into()),
+            class: job.class,
+            tenant: job.tenant.unwrap_or(u32::MAX), // no tenant has that place
+            slots: job.slots.unwrap_or(1.0),
+            memory: job.memory.unwrap_or(0.0),
+            key: job.key,
+            hint: job.hint,
+            remaining: job.remaining,
+        };
+        let req = Req(self.last);
+        self.feed(now, event);
+        req
+    }
+
+    /// The next step of a req. While its job is held there is none: the waker is kept and woken
+    /// when there is one.
+    pub fn pick(&mut self, req: Req, waker: &Waker) -> Poll<Step> {
+        let Some(open) = self.reqs.get_mut(&req.0) else {
+            self.broken(false, "a step was asked for after the req's end");
+            return Poll::Ready(Step::Fail);
+        };
+        match open.steps.pop_front() {
+            Some(step) => Poll::Ready(step),
+            None => {
+                open.waker = Some(waker.clone());
+                Poll::Pending
+            }
+        }
+    }
+
+    /// The handler of a req leaves, with the final answer or because its client went away. Tells
+    /// which fetches are to be dropped; nothing more need be reported of these.
+    pub fn leave(&mut self, now: Micros, req: Req) -> Vec<usize> {
+        let Some(open) = self.reqs.get_mut(&req.0) else { return Vec::new() };
+        open.closed = true;
+        if !std::mem::replace(&mut open.over, true) {
+            self.tally.gone += 1;
+            self.feed(now, Event::Lapsed { id: RequestId(req.0.into()) });
+        }
+        let steps = self.reqs.get_mut(&req.0).map(|open| std::mem::take(&mut open.steps));
+        let mut drops = Vec::new();
+        for step in steps.into_iter().flatten() {
+            match step {
+                // Decided on, but never begun.
+                Step::Fetch { fetch, .. } => self.on_ended(now, req, fetch, Outcome::Unused, None),
+                Step::Drop { fetch } => {
+                    self.on_ended(now, req, fetch, Outcome::Revoked, None);
+                    drops.push(fetch);
+                }
+                Step::Serve { .. } | Step::Synthetic { .. } | Step::Fail => {}
+            }
+        }
+        self.forget(req);
+        drops
+    }
+
+    /// Takes what was seen.
+    pub fn report(&mut self, now: Micros, seen: Seen<'_>) {
+        match seen {
+            Seen::List(kind, entries) => self.on_list(now, kind, entries),
+            Seen::Started(req, fetch) => {
+                let (id, attempt) = (RequestId(req.0.into()), fetch as u32);
+                self.feed(now, Event::Started { id, attempt });
+            }
+            Seen::Progress(req, fetch) => {
+                let worker = self.reqs.get(&req.0).and_then(|open| *open.fetches.get(fetch)?);
+                worker.into_iter().for_each(|worker| self.feed(now, Event::Progress { worker }));
+            }
+            Seen::Ended(req, fetch, outcome, load) => self.on_ended(now, req, fetch, outcome, load),
+            Seen::Probed(backend, ok, load) => {
+                let ending = if ok { Ending::Delivered } else { Ending::DialFailed };
+                let (worker, report) = (worker_id(backend), load.map(report));
+                self.feed(now, Event::Probed { worker, ending, report });
+            }
+        }
+    }
+
+    /// Runs the timer where it is due, and hands over what else is to be done. The waker is woken
+    /// when the next call should come sooner than said here.
+    pub fn tick(&mut self, now: Micros, waker: &Waker) -> Due {
+        if self.wake_at.is_some_and(|at| at <= now) {
+            self.wake_at = None;
+            self.feed(now, Event::Timer);
+        }
+        self.timer = Some(waker.clone());
+        Due { next: self.wake_at, ..std::mem::take(&mut self.due) }
+    }
+
+    /// What was counted so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// How many reqs were taken and have no final answer yet.
+    pub fn owed(&self) -> usize {
+        self.reqs.values().filter(|open| !open.over).count()
+    }
+
+    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        let row = |e: &Entry| Row {
+            worker: worker_id(&e.backend),
+            zone: e.zone,
+            kind: e.kind,
+            cell: e.cell,
+            condition: e.condition,
+            online_since: e.online_since,
+        };
+        let rows: Vec<Row> = entries.iter().map(row).collect();
+        for (row, entry) in rows.iter().zip(entries) {
+            let known = self.backends.entry(row.worker).or_insert_with(|| entry.backend.clone());
+            let same = *known == entry.backend;
+            self.broken(same, "two backends share a number");
+        }
+        self.feed(now, Event::List { kind, rows: &rows });
+    }
+
+    fn on_ended(&mut self, now: Micros, req: Req, fetch: usize, outcome: Outcome, load: Option<Load>) {
+        // A fetch may end on its own in the moment in which it is dropped: the first word counts.
+        let Some(open) = self.reqs.get_mut(&req.0) else { return };
+        if open.fetches.get_mut(fetch).and_then(Option::take).is_none() {
+            return;
+        }
+        self.tally.ended[outcome as usize] += 1;
+        if outcome == Outcome::Served && !open.over {
+            self.tally.served += 1;
+            open.over = true;
+            open.push(Step::Serve { fetch });
+        }
+        let ending = match outcome {
+            Outcome::Served => Ending::Delivered,
+            Outcome::Error => Ending::Error,
+            Outcome::Shed => Ending::Shed,
+            Outcome::Expired => Ending::Expired,
+            Outcome::DialFailed => Ending::DialFailed,
+            Outcome::Dropped => Ending::Dropped,
+            Outcome::Revoked => Ending::Revoked,
+            Outcome::Unused => Ending::Unused,
+        };
+        let (finished, report) = (open.over, load.map(report));
+        let (id, attempt) = (RequestId(req.0.into()), fetch as u32);
+        self.feed(now, Event::Settled { id, attempt, ending, finished, report });
+        self.forget(req);
+    }
+
+    /// A req stays known until its handler is gone and its fetches have ended.
+    fn forget(&mut self, req: Req) {
+        let done = |open: &Open| open.closed && open.fetches.iter().all(Option::is_none);
+        if self.reqs.get(&req.0).is_some_and(done) {
+            self.reqs.remove(&req.0);
+        }
+    }
+
+    /// One event for the module, then the actions that it leads to.
+    fn feed(&mut self, now: Micros, event: Event<'_>) {
+        self.dispatcher.on_event(now, event);
+        let mut actions = std::mem::take(&mut self.actions);
+        self.dispatcher.dispatch(now, &mut actions);
+        for action in actions.drain(..) {
+            self.act(now, action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, worker, abandon_at } => {
+                let backend = self.backends.get(&worker).cloned();
+                let (Some(backend), Some(open)) = (backend, self.reqs.get_mut(&(id.0 as u64))) else {
+                    return self.broken(false, "a fetch for an unknown req or backend");
+                };
+                let over = open.over;
+                let (fetch, until) = (open.fetches.len(), abandon_at.unwrap_or(open.deadline));
+                open.fetches.push(Some(worker));
+                open.push(Step::Fetch { fetch, backend, until: until.min(open.deadline) });
+                self.tally.fetches += 1;
+                self.broken(!over, "a fetch after the final answer");
+            }
+            Action::Refuse { id, retry_after } => {
+                self.tally.synthetic += self.answer(id, Step::Synthetic { retry_after });
+            }
+            Action::Fail { id } => self.tally.failed += self.answer(id, Step::Fail),
+            Action::Cancel { id, attempt } => {
+                let fetch = attempt as usize;
+                if let Some(open) = self.reqs.get_mut(&(id.0 as u64)) {
+                    open.push(Step::Drop { fetch });
+                }
+            }
+            Action::Probe { worker } => {
+                self.due.probes.extend(self.backends.get(&worker).cloned());
+                self.wake_timer();
+            }
+            Action::Subscribe => {
+                self.due.subscribe = true;
+                self.wake_timer();
+            }
+            Action::Wake { after } => {
+                self.wake_at = Some(self.wake_at.map_or(now + after, |at| at.min(now + after)));
+                self.wake_timer();
+            }
+        }
+    }
+
+    /// Gives a req its final answer; tells how many were given: 1, or 0 where it had one.
+    fn answer(&mut self, id: RequestId, step: Step) -> u64 {
+        let first = match self.reqs.get_mut(&(id.0 as u64)) {
+            Some(open) if !open.over => {
+                open.over = true;
+                open.push(step);
+                true
+            }
+            _ => false,
+        };
+        self.broken(first, "a second final answer");
+        u64::from(first)
+    }
+
+    fn wake_timer(&mut self) {
+        self.timer.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// What must hold is asserted in debug builds and counted in release builds.
+    fn broken(&mut self, holds: bool, what: &str) {
+        debug_assert!(holds, "{what}");
+        self.tally.broken += u64::from(!holds);
+    }
+}
+
+impl Open {
+    fn push(&mut self, step: Step) {
+        self.steps.push_back(step);
+        self.waker.take().into_iter().for_each(Waker::wake);
+    }
+}
+
+fn report(load: Load) -> Report {
+    let Load { free_slots, free_memory, outstanding, backlog } = load;
+    Report { free_slots, free_memory, outstanding, backlog }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,8 +28,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
 pub mod decide;
+pub mod facade;
 pub mod interface;
+pub mod net;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/net/backends.rs
@@ -0,0 +1,565 @@
+//! The backends: their addresses, the connections to them, and the fetches on these.
+//!
+//! It owns dialling, the pool of idle connections, the form of a job's stream, and the proof of
+//! whether a request was written in full. It must never send a request a second time on its own,
+//! send to a backend that is not listed as ready, or call a fetch unsent where that is in doubt.
+
+use std::borrow::Cow;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::timeout;
+
+use super::Net;
+use crate::facade::{Condition, Entry, Load, Micros, Outcome, Req, Seen};
+
+/// The longest line of a job's stream: no body on the platform is longer.
+const LONGEST_LINE: usize = 64 << 10;
+/// How long the rest of an answer may take until its connection is given up.
+const REST: Duration = Duration::from_millis(500);
+/// Between two looks at the idle connections.
+const SWEEP: Duration = Duration::from_millis(250);
+
+static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+static SRV_DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+static SRV_LOAD: HeaderName = HeaderName::from_static("srv-load");
+
+// ---- Connections ----
+
+/// Counts an open socket for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Slot(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A socket, with a count of the bytes that the system has taken from us. Counting here, below
+/// hyper, is the proof of whether all of a request can have arrived.
+struct Socket {
+    stream: TcpStream,
+    written: Cell<u64>,
+    _slot: Option<Slot>,
+}
+
+/// What hyper reads from and writes to.
+struct Io(Rc<Socket>);
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    buf.advance(n);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match self.0.stream.try_write(buf) {
+                Ok(n) => {
+                    self.0.written.set(self.0.written.get() + n as u64);
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// A connection that carries one request at a time. Dropping it closes it.
+pub(crate) struct Link {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    socket: Rc<Socket>,
+    task: JoinHandle<()>,
+}
+
+impl Link {
+    /// Opens a connection; `slot` counts it where that is wanted.
+    async fn open(address: SocketAddr, slot: Option<Slot>) -> io::Result<Link> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let socket = Rc::new(Socket { stream, written: Cell::new(0), _slot: slot });
+        let io = TokioIo::new(Io(socket.clone()));
+        let (sender, connection) = handshake(io).await.map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move { _ = connection.await });
+        Ok(Link { sender, socket, task })
+    }
+
+    /// Opens a connection that no budget counts.
+    pub(crate) async fn dial(address: SocketAddr) -> io::Result<Link> {
+        Link::open(address, None).await
+    }
+
+    /// Whether an idle connection has ended. Guards against one that the other side has closed
+    /// while hyper has not yet been told: a request written to it would count as sent.
+    pub(crate) fn is_dead(&self) -> bool {
+        let peeked = socket2::SockRef::from(&self.socket.stream).peek(&mut [MaybeUninit::uninit(); 1]);
+        self.sender.is_closed() || !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+// ---- The table of backends ----
+
+struct Backend {
+    address: SocketAddr,
+    ready: bool,
+    /// Idle connections and since when, the newest last.
+    idle: Vec<(Micros, Link)>,
+}
+
+/// All backends that the director has named, and the connections to them.
+#[derive(Default)]
+pub(crate) struct Backends {
+    all: RefCell<FxHashMap<Rc<str>, Backend>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Backends {
+    /// Takes over what the director tells; in a whole list, who is not named is gone.
+    pub(crate) fn update<'a>(&self, whole: bool, list: impl Iterator<Item = (&'a Entry, SocketAddr)>) {
+        let mut all = self.all.borrow_mut();
+        if whole {
+            all.values_mut().for_each(|b| b.ready = false);
+        }
+        for (entry, address) in list {
+            let new = || Backend { address, ready: false, idle: Vec::new() };
+            let backend = all.entry(entry.backend.clone()).or_insert_with(new);
+            if backend.address != address {
+                backend.idle.clear();
+            }
+            backend.address = address;
+            backend.ready = entry.condition == Condition::Active;
+        }
+        all.values_mut().filter(|b| !b.ready).for_each(|b| b.idle.clear());
+    }
+
+    pub(crate) fn ready_count(&self) -> usize {
+        self.all.borrow().values().filter(|b| b.ready).count()
+    }
+
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.all.borrow().get(name).filter(|b| b.ready).map(|b| b.address)
+    }
+
+    /// The newest idle connection to a backend that is still good.
+    fn take_idle(&self, net: &Net, name: &str) -> Option<Link> {
+        let mut all = self.all.borrow_mut();
+        let backend = all.get_mut(name)?;
+        while let Some((since, link)) = backend.idle.pop() {
+            if net.clock.now() < since + keep(net) && !link.is_dead() && link.sender.is_ready() {
+                return Some(link);
+            }
+            net.count(|c| &mut c.dead_idle);
+        }
+        None
+    }
+
+    fn put_back(&self, net: &Net, name: &str, link: Link) {
+        if let Some(backend) = self.all.borrow_mut().get_mut(name).filter(|b| b.ready) {
+            backend.idle.push((net.clock.now(), link));
+        }
+    }
+
+    /// Room for one more socket: where there is none, the longest idle connection goes.
+    fn slot(&self, net: &Net) -> Option<Slot> {
+        if self.open.get() >= net.socket_share() && !self.close_oldest() {
+            return None;
+        }
+        Some(Slot::new(&self.open))
+    }
+
+    /// Closes the connection that has been idle for longest; tells whether there was one.
+    pub(crate) fn close_oldest(&self) -> bool {
+        let mut all = self.all.borrow_mut();
+        let oldest = all.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].0);
+        oldest.map(|b| b.idle.remove(0)).is_some()
+    }
+}
+
+/// How long a connection is kept idle: half of what the other side may.
+fn keep(net: &Net) -> Micros {
+    net.config.settings.idle_close / 2
+}
+
+/// Closes connections that have been idle for long enough.
+pub(crate) async fn sweep(net: Rc<Net>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = net.clock.now();
+        for backend in net.backends.all.borrow_mut().values_mut() {
+            backend.idle.retain(|(since, link)| now < since + keep(&net) && !link.sender.is_closed());
+        }
+    }
+}
+
+// ---- Fetches ----
+
+/// What goes to a backend unchanged.
+pub(crate) struct Order {
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub headers: HeaderMap,
+    pub id: HeaderValue,
+    pub body: Bytes,
+    /// When the client gives up.
+    pub deadline: Micros,
+}
+
+impl Order {
+    fn request(&self, now: Micros) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(Uri::from(self.target.clone()))
+            .body(Full::new(self.body.clone()))?;
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        headers.insert(CONTENT_LENGTH, self.body.len().into());
+        headers.insert(&REQ_DEADLINE, (self.deadline.saturating_sub(now) / 1_000).into());
+        debug_assert!(headers.contains_key(HOST));
+        Ok(request)
+    }
+}
+
+/// How many bytes hyper makes of a request.
+fn size_of(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+    let target = request.uri().path_and_query().map_or(1, |t| t.as_str().len());
+    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
+    let fields: usize =
+        request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
+    (line + fields + "\r\n".len() + body) as u64
+}
+
+/// A fetch on its way, as its req's handler sees it.
+pub(crate) struct Fetch {
+    task: AbortHandle,
+    result: Option<oneshot::Receiver<Bytes>>,
+}
+
+impl Fetch {
+    /// The result, once the facade has said to serve it.
+    pub(crate) async fn result(&mut self) -> Option<Bytes> {
+        self.result.take()?.await.ok()
+    }
+
+    /// Gives the fetch up: its connection is closed.
+    pub(crate) fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+/// What a request is known to have written, wherever its fetch ends.
+#[derive(Default)]
+struct Sent(RefCell<Option<(Rc<Socket>, u64)>>);
+
+impl Sent {
+    /// Whether the last byte may have been written.
+    fn in_full(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|(socket, end)| socket.written.get() >= *end)
+    }
+}
+
+/// Begins a fetch. It reports its own end to the facade, whether or not its handler still waits.
+pub(crate) fn start(
+    net: &Rc<Net>,
+    order: &Rc<Order>,
+    req: Req,
+    fetch: usize,
+    to: Rc<str>,
+    until: Micros,
+) -> Fetch {
+    let (tx, rx) = oneshot::channel();
+    let (net, order) = (net.clone(), order.clone());
+    let task = tokio::task::spawn_local(async move {
+        let sent = Sent::default();
+        let run = run(&net, &order, (req, fetch), &to, &sent, tx);
+        let ended = tokio::time::timeout_at(net.clock.instant(until), run).await;
+        let (outcome, load, rest) = match ended {
+            Ok(Ended { outcome, load, rest }) => (outcome, load, rest),
+            Err(_) => (Outcome::Expired, None, None),
+        };
+        // Dropped and Expired are for what may have run; what was not written in full never did.
+        let outcome = match outcome {
+            Outcome::Dropped | Outcome::Expired if !sent.in_full() => Outcome::DialFailed,
+            outcome => outcome,
+        };
+        net.report(Seen::Ended(req, fetch, outcome, load));
+        if let Some((link, body)) = rest {
+            _ = timeout(REST, finish(&net, &to, link, body)).await;
+        }
+    });
+    Fetch { task: task.abort_handle(), result: Some(rx) }
+}
+
+/// How a fetch ended, and what is left of its connection where that is still good.
+struct Ended {
+    outcome: Outcome,
+    load: Option<Load>,
+    rest: Option<(Link, Incoming)>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Ended { outcome, load: None, rest: None }
+    }
+}
+
+async fn run(
+    net: &Net,
+    order: &Order,
+    (req, fetch): (Req, usize),
+    to: &Rc<str>,
+    sent: &Sent,
+    tx: oneshot::Sender<Bytes>,
+) -> Ended {
+    let mut link = match connect(net, to).await {
+        Ok(link) => link,
+        Err(outcome) => return outcome.into(),
+    };
+    // The dial may have outlasted the time in which sends to a draining backend must end.
+    if net.backends.address(to).is_none() {
+        net.count(|c| &mut c.drained_before_send);
+        return Outcome::Unused.into();
+    }
+    let Ok(request) = order.request(net.clock.now()) else { return Outcome::Unused.into() };
+    let end = link.socket.written.get() + size_of(&request, order.body.len());
+    *sent.0.borrow_mut() = Some((link.socket.clone(), end));
+    let Ok(response) = link.sender.send_request(request).await else { return Outcome::Dropped.into() };
+    if link.socket.written.get() != end {
+        debug_assert!(false, "a request's size was not foreseen");
+        net.count(|c| &mut c.size_mismatch);
+    }
+    let (head, mut body) = response.into_parts();
+    if head.status != StatusCode::OK {
+        let declined = head.headers.get(&SRV_DECLINED).is_some_and(|v| v == "1");
+        let busy = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+        let outcome = if declined && busy { Outcome::Shed } else { Outcome::Error };
+        return Ended { outcome, load: load_in(&head.headers), rest: Some((link, body)) };
+    }
+    let mut buffer = BytesMut::new();
+    let mut tx = Some(tx);
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else { continue };
+        buffer.extend_from_slice(&data);
+        while let Some(at) = buffer.iter().position(|b| *b == b'\n') {
+            let line = buffer.split_to(at + 1);
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let Ok(line) = serde_json::from_slice::<Line>(&line) else {
+                net.count(|c| &mut c.malformed_lines);
+                return Outcome::Dropped.into();
+            };
+            // Only what a backend made for this very req may be served.
+            if line.id.as_bytes() != order.id.as_bytes() {
+                net.count(|c| &mut c.wrong_id_lines);
+                return Outcome::Dropped.into();
+            }
+            let outcome = match &*line.state {
+                "started" => {
+                    net.report(Seen::Started(req, fetch));
+                    continue;
+                }
+                "running" => {
+                    net.report(Seen::Progress(req, fetch));
+                    continue;
+                }
+                "done" => {
+                    let result = line.result.and_then(result_bytes);
+                    match (result, tx.take()) {
+                        (Some(result), Some(tx)) => _ = tx.send(result),
+                        _ => {
+                            net.count(|c| &mut c.malformed_lines);
+                            return Outcome::Dropped.into();
+                        }
+                    }
+                    Outcome::Served
+                }
+                "failed" => Outcome::Error,
+                "returned" => Outcome::Shed,
+                "lost" => Outcome::Dropped,
+                _ => continue, // a word of a later day
+            };
+            let load = line.load.map(Load::from);
+            return Ended { outcome, load, rest: Some((link, body)) };
+        }
+        if buffer.len() > LONGEST_LINE {
+            net.count(|c| &mut c.malformed_lines);
+            return Outcome::Dropped.into();
+        }
+    }
+    Outcome::Dropped.into()
+}
+
+/// An idle connection, or a new one. Its failure says what the fetch ends with.
+async fn connect(net: &Net, to: &str) -> Result<Link, Outcome> {
+    if let Some(link) = net.backends.take_idle(net, to) {
+        net.count(|c| &mut c.reused);
+        return Ok(link);
+    }
+    let address = net.backends.address(to).ok_or(Outcome::Unused)?;
+    let Some(slot) = net.backends.slot(net) else {
+        net.count(|c| &mut c.no_socket);
+        return Err(Outcome::Unused);
+    };
+    net.count(|c| &mut c.dials);
+    let limit = Duration::from_micros(net.config.settings.connect_timeout);
+    match timeout(limit, Link::open(address, Some(slot))).await {
+        Ok(Ok(link)) => Ok(link),
+        _ => Err(Outcome::DialFailed),
+    }
+}
+
+/// Reads an answer to its end, so that its connection can be used again.
+async fn finish(net: &Net, to: &str, mut link: Link, mut body: Incoming) {
+    let mut left = LONGEST_LINE;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return };
+        let read = frame.data_ref().map_or(0, Buf::remaining);
+        let Some(rest) = left.checked_sub(read) else { return };
+        left = rest;
+    }
+    if link.sender.ready().await.is_ok() {
+        net.backends.put_back(net, to, link);
+    }
+}
+
+// ---- The form of a job's stream ----
+
+/// One line of a job's stream.
+#[derive(Deserialize)]
+struct Line<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    #[serde(borrow)]
+    result: Option<&'a RawValue>,
+    load: Option<LoadForm>,
+}
+
+/// A result's bytes: the text of a string, or any other value as it stands.
+fn result_bytes(result: &RawValue) -> Option<Bytes> {
+    let text = result.get();
+    if !text.starts_with('"') {
+        return Some(Bytes::copy_from_slice(text.as_bytes()));
+    }
+    serde_json::from_str::<String>(text).ok().map(Bytes::from)
+}
+
+/// A load report; what is absent or no number is left out.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct LoadForm {
+    #[serde(alias = "outstanding")]
+    inflight: Option<f64>,
+    #[serde(alias = "backlog")]
+    queue: Option<f64>,
+    x0: Option<f64>,
+    x1: Option<f64>,
+}
+
+impl From<LoadForm> for Load {
+    fn from(form: LoadForm) -> Load {
+        let LoadForm { inflight: outstanding, queue: backlog, x0: free_slots, x1: free_memory } = form;
+        Load { free_slots, free_memory, outstanding, backlog }
+    }
+}
+
+/// A report in its text form: `TEXT inflight=7, queue=2`.
+fn load_of(text: &str) -> Load {
+    let mut form = LoadForm::default();
+    for (name, value) in text.split([' ', ',']).filter_map(|field| field.split_once('=')) {
+        let value = value.parse().ok();
+        match name {
+            "inflight" | "outstanding" => form.inflight = value,
+            "queue" | "backlog" => form.queue = value,
+            "x0" => form.x0 = value,
+            "x1" => form.x1 = value,
+            _ => {}
+        }
+    }
+    form.into()
+}
+
+fn load_in(headers: &HeaderMap) -> Option<Load> {
+    headers.get(&SRV_LOAD)?.to_str().ok().map(load_of)
+}
+
+/// Asks a backend for its load, where the decisions want it.
+pub(crate) async fn probe(net: Rc<Net>, to: Rc<str>) {
+    let limit = Duration::from_micros(2 * net.config.settings.connect_timeout);
+    let load = timeout(limit, ask_load(&net, &to)).await.ok().flatten();
+    net.report(Seen::Probed(&to, load.is_some(), load));
+}
+
+async fn ask_load(net: &Net, to: &str) -> Option<Load> {
+    let mut link = connect(net, to).await.ok()?;
+    let host = net.backends.address(to)?.to_string();
+    let request = Request::get("/status/load").header(HOST, host).body(Full::default()).ok()?;
+    let response = link.sender.send_request(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let in_head = load_in(response.headers());
+    let body =
+        http_body_util::Limited::new(response.into_body(), LONGEST_LINE).collect().await.ok()?.to_bytes();
+    if link.sender.ready().await.is_ok() {
+        net.backends.put_back(net, to, link);
+    }
+    let in_json = || serde_json::from_slice::<LoadForm>(&body).ok().map(Load::from);
+    in_head.or_else(in_json).or_else(|| std::str::from_utf8(&body).ok().map(load_of))
+}
--- /dev/null
+++ b/src/net/director.rs
@@ -0,0 +1,158 @@
+//! The director: the list of backends, and the watch on its changes.
+//!
+//! It owns the director's JSON form, the one connection to it and the number of the list held, and
+//! keeps the backends' addresses and the facade's list in step. It must never decide when to
+//! subscribe (the facade says so), wait for a call without bound, or let a malformed list in.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{header::HOST, Request, StatusCode};
+use serde::Deserialize;
+
+use super::backends::Link;
+use super::{log, Net};
+use crate::facade::{Condition, Entry, ListKind, Seen};
+use crate::wire::Names;
+
+const PATH: &str = "/v1/endpoints";
+/// The longest a watch may be asked to hold.
+const LONGEST_HOLD: Duration = Duration::from_secs(60);
+/// What an answer may take beyond the hold: later than this, the changes count as told anyway.
+const BEYOND_HOLD: Duration = Duration::from_secs(2);
+/// The largest list that is read.
+const LARGEST_LIST: usize = 1 << 20;
+
+/// An answer of the director: the whole list, or what has changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Answer {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<Instance>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: Rc<str>,
+    host_port: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+impl Answer {
+    /// Reads an answer; what is malformed is told, never half taken.
+    pub fn parse(text: &[u8]) -> Result<Answer, String> {
+        serde_json::from_slice(text).map_err(|e| e.to_string())
+    }
+}
+
+impl Instance {
+    fn entry(&self, names: &Names) -> Entry {
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).map_or(u32::MAX, |i| i as u32)
+        };
+        Entry {
+            backend: self.instance_id.clone(),
+            zone: place(&names.zones, &self.zone),
+            kind: place(&names.kinds, &self.machine_type),
+            cell: self.cell,
+            condition: match self.lifecycle.as_str() {
+                "ready" => Condition::Active,
+                "gone" => Condition::Left,
+                // Draining, or a word of a later day: nothing new goes there.
+                _ => Condition::Leaving,
+            },
+            online_since: self.started_at_ms.saturating_mul(1_000),
+        }
+    }
+}
+
+/// Takes in the list as it was last held, before anything else is known.
+pub(crate) fn remember(net: &Net) {
+    if let Some(known) = &net.config.known {
+        apply(net, known, ListKind::Remembered);
+    }
+}
+
+fn apply(net: &Net, answer: &Answer, kind: ListKind) {
+    let entries: Vec<Entry> = answer.instances.iter().map(|i| i.entry(&net.config.names)).collect();
+    let addresses = answer.instances.iter().map(|i| i.host_port);
+    net.backends.update(kind != ListKind::Changes, entries.iter().zip(addresses));
+    net.report(Seen::List(kind, &entries));
+    if !entries.is_empty() {
+        let (number, ready) = (answer.generation, net.backends.ready_count());
+        log!("list {number} ({kind:?}): {} entries, {ready} backends ready", entries.len());
+    }
+}
+
+/// Watches the list whenever the facade asks for it, until a call fails.
+pub(crate) async fn run(net: Rc<Net>) {
+    let mut generation = net.config.known.as_ref().map(|known| known.generation);
+    let hold = Duration::from_micros(net.config.settings.ask_every / 2).min(LONGEST_HOLD);
+    let mut link = None;
+    loop {
+        net.subscribe.notified().await;
+        let failure = loop {
+            net.count(|c| &mut c.director_calls);
+            match in_time(hold + BEYOND_HOLD, call(&net, &mut link, generation, hold)).await {
+                Ok(answer) => {
+                    generation = Some(answer.generation);
+                    apply(&net, &answer, if answer.reset { ListKind::All } else { ListKind::Changes });
+                }
+                Err(failure) => break failure,
+            }
+        };
+        // A connection on which a call has failed may carry its answer yet.
+        link = None;
+        net.count(|c| &mut c.director_failures);
+        log!("director: {failure}");
+        net.report(Seen::List(ListKind::Refused, &[]));
+    }
+}
+
+async fn in_time<T>(limit: Duration, call: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    tokio::time::timeout(limit, call).await.unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+async fn call(
+    net: &Net,
+    link: &mut Option<Link>,
+    from: Option<u64>,
+    hold: Duration,
+) -> Result<Answer, String> {
+    let address = net.config.director;
+    if link.as_ref().is_none_or(Link::is_dead) {
+        *link = Some(Link::dial(address).await.map_err(|e| format!("cannot connect: {e}"))?);
+    }
+    let link = link.as_mut().ok_or("no connection")?;
+    let path = match from {
+        Some(from) => format!("{PATH}?from={from}&hold_ms={}", hold.as_millis()),
+        None => PATH.to_owned(),
+    };
+    let request = Request::get(path).header(HOST, address.to_string()).body(Full::<Bytes>::default());
+    let request = request.map_err(|e| e.to_string())?;
+    link.sender.ready().await.map_err(|e| e.to_string())?;
+    let response = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("answered {}", response.status()));
+    }
+    let body = Limited::new(response.into_body(), LARGEST_LIST).collect().await;
+    let body = body.map_err(|e| format!("broken answer: {e}"))?;
+    Answer::parse(&body.to_bytes()).map_err(|e| {
+        net.count(|c| &mut c.malformed_lists);
+        format!("malformed list: {e}")
+    })
+}
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,323 @@
+//! The clients' side: the listener, the clients' connections, and one handler for each req.
+//!
+//! It owns the reading of the platform's client protocol and the writing of answers. It must never
+//! decide what a req gets (each step comes from the facade's `pick`), hold an answer back, or let
+//! what is malformed reach a backend.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+
+use super::backends::{self, Fetch, Order};
+use super::{log, Net, Phase};
+use crate::facade::{Job, Micros, Outcome, Req, Seen, Step};
+use crate::interface::Effect;
+use crate::wire;
+
+/// The largest body of a req.
+const LARGEST_BODY: usize = 64 << 10;
+/// The longest `Req-Id`.
+const LONGEST_ID: usize = 128;
+/// How many connections may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long to wait where accepting fails for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+static REQ_ID: HeaderName = HeaderName::from_static("req-id");
+static REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
+static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
+static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+static REQ_EXTRA: HeaderName = HeaderName::from_static("req-extra");
+static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+// ---- Connections ----
+
+/// Binds the one address given.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    let bound = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
+    bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+}
+
+/// A client's connection: idle since when, or busy with a req.
+struct Client {
+    idle_since: Cell<Option<Micros>>,
+    close: Notify,
+}
+
+/// The clients' connections.
+#[derive(Default)]
+struct Clients {
+    open: RefCell<Vec<Rc<Client>>>,
+    changed: Notify,
+}
+
+impl Clients {
+    /// Asks the connection that has been idle for longest to close; tells whether there was one.
+    fn close_oldest(&self) -> bool {
+        let open = self.open.borrow();
+        let idle = open.iter().filter_map(|c| c.idle_since.get().map(|since| (since, c)));
+        let Some((_, oldest)) = idle.min_by_key(|(since, _)| *since) else { return false };
+        oldest.idle_since.set(None);
+        oldest.close.notify_one();
+        true
+    }
+}
+
+/// Accepts and serves until the program is to close, and then until every connection has ended.
+pub(crate) async fn run(net: &Rc<Net>, listener: TcpListener) {
+    let clients = Rc::new(Clients::default());
+    let mut phase = net.phase.subscribe();
+    let mut closing = pin!(phase.wait_for(|p| *p == Phase::Closing));
+    loop {
+        // A full house accepts nobody until an idle connection has made room.
+        while clients.open.borrow().len() >= net.socket_share() {
+            if clients.close_oldest() {
+                net.count(|c| &mut c.evicted_clients);
+            }
+            tokio::select! {
+                () = clients.changed.notified() => {}
+                () = tokio::time::sleep(ACCEPT_PAUSE) => {}
+            }
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = &mut closing => break,
+        };
+        match accepted {
+            Ok((stream, _)) => welcome(net, &clients, stream),
+            // It ended before it was accepted: nothing of ours is amiss.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                // Mostly for want of descriptors: trying again at once would spin.
+                net.count(|c| &mut c.accept_errors);
+                log!("accept: {e}");
+                net.backends.close_oldest();
+                clients.close_oldest();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    // Connections that the system has accepted for us may carry reqs already.
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        welcome(net, &clients, stream);
+    }
+    drop(listener);
+    while !clients.open.borrow().is_empty() {
+        clients.changed.notified().await;
+    }
+}
+
+fn welcome(net: &Rc<Net>, clients: &Rc<Clients>, stream: TcpStream) {
+    _ = stream.set_nodelay(true);
+    let client = Rc::new(Client { idle_since: Cell::new(Some(net.clock.now())), close: Notify::new() });
+    clients.open.borrow_mut().push(client.clone());
+    let (net, clients) = (net.clone(), clients.clone());
+    tokio::task::spawn_local(async move {
+        converse(&net, &client, stream).await;
+        clients.open.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
+        clients.changed.notify_one();
+    });
+}
+
+/// One connection from its first req to its last.
+async fn converse(net: &Rc<Net>, client: &Rc<Client>, stream: TcpStream) {
+    let service = service_fn(|request| async {
+        client.idle_since.set(None);
+        let response = respond(net, request).await;
+        client.idle_since.set(Some(net.clock.now()));
+        Ok::<_, Infallible>(response)
+    });
+    let connection =
+        http1::Builder::new().auto_date_header(false).serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut phase = net.phase.subscribe();
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = client.close.notified() => {}
+        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+    }
+    // Idle: it closes now. Busy: it closes after the answer, which says so.
+    connection.as_mut().graceful_shutdown();
+    _ = connection.await;
+}
+
+// ---- Requests ----
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+async fn respond(net: &Rc<Net>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let arrived = net.clock.now();
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/ready" {
+        return match head.method {
+            Method::GET | Method::HEAD if net.ready.get() && net.backends.ready_count() > 0 => {
+                plain(StatusCode::OK, "ready\n")
+            }
+            Method::GET | Method::HEAD => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => not_allowed("GET, HEAD"),
+        };
+    }
+    let (job, order) = match read(net, arrived, head, body).await {
+        Ok(read) => read,
+        Err(answer) => {
+            net.count(|c| &mut c.bad_reqs);
+            return answer;
+        }
+    };
+    handle(net, &job, Rc::new(order)).await
+}
+
+fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n");
+    answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
+    answer
+}
+
+/// Takes out of a request what the decisions need and keeps the rest as it came. What no backend
+/// should see is answered here.
+async fn read(
+    net: &Net,
+    arrived: Micros,
+    head: Parts,
+    body: Incoming,
+) -> Result<(Job, Order), Response<Full<Bytes>>> {
+    let bad = |text| plain(StatusCode::BAD_REQUEST, text);
+    let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
+    let Some(target) = head.uri.path_and_query().cloned() else { return Err(bad("no path\n")) };
+    let names = &net.config.names;
+    let mut parts = target.path().split('/').skip(1);
+    let class = parts.next().and_then(|kind| names.classes.iter().position(|c| c == kind));
+    let Some(class) = class else { return Err(plain(StatusCode::NOT_FOUND, "no such class\n")) };
+    if head.method != Method::POST {
+        return Err(not_allowed("POST"));
+    }
+    let mut fields = head.headers;
+    if fields.get(&REQ_KIND).is_some_and(|kind| kind != names.classes[class].as_str()) {
+        return Err(bad("Req-Kind is not the path's class\n"));
+    }
+    let usable = |id: &HeaderValue| {
+        (1..=LONGEST_ID).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
+    };
+    let mut ids = fields.get_all(&REQ_ID).iter();
+    let (Some(id), None) = (ids.next().filter(|id| usable(id)).cloned(), ids.next()) else {
+        return Err(bad("no usable Req-Id\n"));
+    };
+    let c = &net.config.settings.classes[class];
+    if c.effect == Effect::Keyed && !fields.contains_key(&IDEMPOTENCY_KEY) {
+        return Err(bad("no Idempotency-Key\n"));
+    }
+    let text = |name: &HeaderName| fields.get(name).and_then(|v| v.to_str().ok());
+    let wait = text(&REQ_DEADLINE).and_then(|t| t.parse::<u64>().ok()).filter(|ms| *ms > 0);
+    let wait = wait.map_or(c.deadline, |ms| ms.saturating_mul(1_000).min(c.deadline));
+    let deadline = arrived + wait;
+    let tenant = text(&REQ_OWNER).and_then(|t| names.tenants.iter().position(|n| n == t));
+    let extra = |name: &str| {
+        let mut pairs = text(&REQ_EXTRA)?.split(',').filter_map(|pair| pair.split_once('='));
+        pairs
+            .find(|(n, _)| n.trim() == name)?
+            .1
+            .trim()
+            .parse::<f64>()
+            .ok()
+            .filter(|x| x.is_finite() && *x >= 0.0)
+    };
+    let mut job = Job {
+        class: class as u32,
+        tenant: tenant.map(|t| t as u32),
+        slots: extra("slots"),
+        memory: extra("memory"),
+        // Where a path goes on after the class, it ends with what the req concerns.
+        key: parts.last().filter(|k| !k.is_empty()).map(wire::number_of),
+        hint: None,
+        remaining: 0,
+    };
+    if body.size_hint().lower() > LARGEST_BODY as u64 {
+        return Err(too_large());
+    }
+    let body = match Limited::new(body, LARGEST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
+        Err(_) => return Err(bad("broken body\n")),
+    };
+    job.remaining = deadline.saturating_sub(net.clock.now());
+    let mut headers = HeaderMap::with_capacity(8);
+    for name in [HOST, CONTENT_TYPE, REQ_ID.clone(), IDEMPOTENCY_KEY.clone(), REQ_KIND.clone()] {
+        if let Some(value) = fields.remove(&name) {
+            headers.insert(name, value);
+        }
+    }
+    if !headers.contains_key(HOST) {
+        return Err(bad("no Host\n"));
+    }
+    Ok((job, Order { method: head.method, target, headers, id, body, deadline }))
+}
+
+/// A req from its arrival to its answer. Where its client goes away first, hyper drops it, and
+/// what is still out is given up.
+struct Handler<'a> {
+    net: &'a Rc<Net>,
+    req: Req,
+    fetches: Vec<Fetch>,
+}
+
+impl Drop for Handler<'_> {
+    fn drop(&mut self) {
+        let drops = self.net.facade.borrow_mut().leave(self.net.clock.now(), self.req);
+        drops.into_iter().filter_map(|n| self.fetches.get(n)).for_each(Fetch::stop);
+    }
+}
+
+async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>) -> Response<Full<Bytes>> {
+    let req = net.facade.borrow_mut().take(net.clock.now(), job);
+    let mut handler = Handler { net, req, fetches: Vec::new() };
+    loop {
+        match net.pick(req).await {
+            Step::Fetch { fetch, backend, until } => {
+                debug_assert_eq!(fetch, handler.fetches.len());
+                handler.fetches.push(backends::start(net, &order, req, fetch, backend, until));
+            }
+            Step::Serve { fetch } => {
+                return match handler.fetches[fetch].result().await {
+                    Some(result) => Response::new(Full::new(result)),
+                    None => plain(StatusCode::BAD_GATEWAY, "the result was lost\n"),
+                };
+            }
+            Step::Synthetic { retry_after } => {
+                let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
+                let value = retry_after.map(|t| format!("{:.3}", t as f64 / 1e6));
+                if let Some(value) = value.and_then(|v| HeaderValue::try_from(v).ok()) {
+                    answer.headers_mut().insert(RETRY_AFTER, value);
+                }
+                return answer;
+            }
+            Step::Fail => return plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Step::Drop { fetch } => {
+                handler.fetches[fetch].stop();
+                net.report(Seen::Ended(req, fetch, Outcome::Revoked, None));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,207 @@
+//! The network side of the program: sockets, HTTP and the platform's protocol, around the facade.
+//!
+//! This file owns what the parts share (clock, facade, counters, the stop) and the timer task. It
+//! must never decide on a req: each step comes from the facade, and what is seen goes back to it.
+
+pub mod backends;
+pub mod director;
+pub mod front;
+
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{watch, Notify};
+use tokio::time::Sleep;
+
+use crate::config::Config;
+use crate::facade::{Facade, Micros, Seen, Step};
+
+/// How long after SIGTERM new reqs are still taken as usual: the platform's front sends some for
+/// 0.4 s yet, and clients use their connections until these are closed.
+const LINGER: Duration = Duration::from_millis(800);
+/// Between two looks at whether there is something new to log.
+const LOG_EVERY: Duration = Duration::from_secs(10);
+/// Descriptors for what is not a client or a backend: standard streams, the runtime's own, the
+/// listener, the director, and what is on its way from closed to gone.
+const RESERVED_SOCKETS: usize = 32;
+
+/// Writes one line to the log.
+macro_rules! log {
+    ($($arg:tt)*) => { eprintln!("oakshed: {}", format_args!($($arg)*)) };
+}
+pub(crate) use log;
+
+/// Unix time in microseconds as of the start, going on with the monotonic clock: the director's
+/// start times fit in, and it never runs backwards.
+#[derive(Clone, Copy)]
+pub(crate) struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub(crate) fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    pub(crate) fn instant(&self, at: Micros) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
+    }
+}
+
+/// What went wrong on the network, or should have been impossible.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Counters {
+    pub bad_reqs: u64,
+    pub dials: u64,
+    pub reused: u64,
+    pub dead_idle: u64,
+    pub malformed_lines: u64,
+    pub wrong_id_lines: u64,
+    pub no_socket: u64,
+    pub drained_before_send: u64,
+    pub size_mismatch: u64,
+    pub accept_errors: u64,
+    pub director_calls: u64,
+    pub director_failures: u64,
+    pub malformed_lists: u64,
+    pub evicted_clients: u64,
+}
+
+/// Where the program is between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub(crate) enum Phase {
+    Serving,
+    /// After SIGTERM: as before, for a while.
+    Lingering,
+    /// What is open is finished, and nothing new is taken.
+    Closing,
+}
+
+/// What all parts share.
+pub(crate) struct Net {
+    pub config: Config,
+    pub clock: Clock,
+    pub facade: RefCell<Facade>,
+    pub backends: backends::Backends,
+    pub counters: RefCell<Counters>,
+    pub phase: watch::Sender<Phase>,
+    pub subscribe: Notify,
+    pub ready: Cell<bool>,
+}
+
+impl Net {
+    pub(crate) fn report(&self, seen: Seen<'_>) {
+        self.facade.borrow_mut().report(self.clock.now(), seen);
+    }
+
+    pub(crate) async fn pick(&self, req: crate::facade::Req) -> Step {
+        poll_fn(|cx| self.facade.borrow_mut().pick(req, cx.waker())).await
+    }
+
+    pub(crate) fn count(&self, which: impl FnOnce(&mut Counters) -> &mut u64) {
+        *which(&mut self.counters.borrow_mut()) += 1;
+    }
+
+    /// Descriptors for clients, and as many for backends.
+    pub(crate) fn socket_share(&self) -> usize {
+        (self.config.sockets - RESERVED_SOCKETS) / 2
+    }
+}
+
+/// Serves until SIGTERM or SIGINT, and then until all that was taken is answered.
+pub async fn serve(config: Config) -> std::io::Result<()> {
+    let facade = Facade::new(config.settings.clone(), config.seed).map_err(std::io::Error::other)?;
+    let listener = front::listen(config.listen)?;
+    let net = Rc::new(Net {
+        clock: Clock::new(),
+        facade: RefCell::new(facade),
+        backends: backends::Backends::default(),
+        counters: RefCell::default(),
+        phase: watch::Sender::new(Phase::Serving),
+        subscribe: Notify::new(),
+        ready: Cell::new(false),
+        config,
+    });
+    log!(
+        "{} listens on {}, director {}, {} sockets",
+        net.config.name,
+        net.config.listen,
+        net.config.director,
+        net.config.sockets
+    );
+    director::remember(&net);
+    net.ready.set(true);
+    tokio::task::spawn_local(run_timer(net.clone()));
+    tokio::task::spawn_local(director::run(net.clone()));
+    tokio::task::spawn_local(backends::sweep(net.clone()));
+    tokio::task::spawn_local(log_counters(net.clone()));
+    tokio::task::spawn_local(run_phases(net.clone()));
+    front::run(&net, listener).await;
+    log!("stopped: {}", summary(&net));
+    Ok(())
+}
+
+/// The timer of the decisions, and what they want done besides the steps of reqs.
+async fn run_timer(net: Rc<Net>) {
+    let mut sleep: Pin<Box<Sleep>> = Box::pin(tokio::time::sleep(Duration::ZERO));
+    loop {
+        let due = poll_fn(|cx| loop {
+            let due = net.facade.borrow_mut().tick(net.clock.now(), cx.waker());
+            if due.subscribe || !due.probes.is_empty() {
+                return Poll::Ready(due);
+            }
+            let Some(next) = due.next else { return Poll::Pending };
+            sleep.as_mut().reset(net.clock.instant(next));
+            if sleep.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+        })
+        .await;
+        if due.subscribe {
+            net.subscribe.notify_one();
+        }
+        for backend in due.probes {
+            tokio::task::spawn_local(backends::probe(net.clone(), backend));
+        }
+    }
+}
+
+async fn run_phases(net: Rc<Net>) {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (term, int) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+        return log!("signals cannot be caught: the program will not end in order");
+    };
+    tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
+    log!("told to stop: serving on for {} ms", LINGER.as_millis());
+    net.phase.send_replace(Phase::Lingering);
+    tokio::time::sleep(LINGER).await;
+    log!("closing: {} reqs are owed an answer", net.facade.borrow().owed());
+    net.phase.send_replace(Phase::Closing);
+}
+
+fn summary(net: &Net) -> String {
+    format!("{:?} {:?}", net.facade.borrow().tally(), net.counters.borrow())
+}
+
+async fn log_counters(net: Rc<Net>) {
+    let mut last = String::new();
+    loop {
+        tokio::time::sleep(LOG_EVERY).await;
+        let now = summary(&net);
+        if now != last {
+            log!("counts: {now}");
+            last = now;
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -86,6 +86,10 @@
 struct Boot {
     #[serde(default)]
     az: u32,
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    machine_types: Vec<String>,
     balancers: u32,
     categories: Vec<Category>,
     #[serde(default)]
@@ -107,6 +111,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Category {
+    #[serde(default)]
+    name: String,
     aim_ms: f64,
     give_up_ms: f64,
     idempotency: String,
@@ -122,6 +128,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_rps: f64,
 }
@@ -180,7 +188,7 @@
 }
 
 /// Milliseconds on the wire to microseconds; what is not a positive number counts as 0.
-fn micros(ms: f64) -> Micros {
+pub(crate) fn micros(ms: f64) -> Micros {
     (ms * 1000.0).round().max(0.0) as Micros
 }
 
@@ -202,8 +210,26 @@
     io::Error::new(io::ErrorKind::InvalidData, what.to_string())
 }
 
+/// The names of what the settings hold by index.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Of the classes.
+    pub classes: Vec<String>,
+    /// Of the tenants.
+    pub tenants: Vec<String>,
+    /// Of the zones.
+    pub zones: Vec<String>,
+    /// Of the machine kinds.
+    pub kinds: Vec<String>,
+}
+
 /// Reads `boot-info` as settings.
 pub fn settings(boot_info: &str) -> io::Result<Settings> {
+    Ok(settings_and_names(boot_info)?.0)
+}
+
+/// Reads `boot-info` as settings, and the names that go with them.
+pub fn settings_and_names(boot_info: &str) -> io::Result<(Settings, Names)> {
     let boot: Boot = serde_json::from_str(boot_info).map_err(|e| bad(format_args!("boot-info: {e}")))?;
     let family = &boot.family_info;
     let class = |(i, c): (usize, &Category)| -> io::Result<Class> {
@@ -231,7 +257,7 @@
             kind: family.class_kind.get(i).and_then(|&k| u32::try_from(k).ok()),
         })
     };
-    Ok(Settings {
+    let settings = Settings {
         dispatchers: boot.balancers,
         zone: boot.az,
         classes: boot.categories.iter().enumerate().map(class).collect::<io::Result<_>>()?,
@@ -259,7 +285,14 @@
         ramp: micros(boot.obligations.ramp_time_ms),
         fall_multiple: boot.obligations.fall_multiple,
         fall_span: micros(boot.obligations.fall_ms),
-    })
+    };
+    let names = Names {
+        classes: boot.categories.into_iter().map(|c| c.name).collect(),
+        tenants: boot.tenants.into_iter().map(|t| t.name).collect(),
+        zones: boot.azs,
+        kinds: boot.machine_types,
+    };
+    Ok((settings, names))
 }
 
 /// Reads a request id in the wire's form: 32 lower-case hex digits in groups of 8-4-4-4-12.
@@ -309,10 +342,15 @@
     })
 }
 
-/// A worker's number: a hash of its address (FNV-1a), the same in every process.
-fn worker_id(name: &str) -> WorkerId {
+/// A number that stands for a name, the same in every process (FNV-1a).
+pub(crate) fn number_of(name: &str) -> u64 {
     let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    WorkerId(name.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, step))
+    name.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// A worker's number.
+pub(crate) fn worker_id(name: &str) -> WorkerId {
+    WorkerId(number_of(name))
 }
 
 /// One hosted dispatcher.
