Test the program over sockets and the facade against a model of its states

Added: a proptest model of reqs and fetches with a fixed seed (one answer each, no transfer twice, no lost wake-up, every fetch accounted for), and tests that start the program and speak to it with small fakes.

Also bounded: the director's dial (1 s), a body that never comes, and a closing connection on which half a head came, for which hyper would wait without end.

Resets, early ends and lost jobs are now counted apart.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -377,7 +377,10 @@
     let Ok(request) = order.request(net.clock.now()) else { return Outcome::Unused.into() };
     let end = link.socket.written.get() + size_of(&request, order.body.len());
     *sent.0.borrow_mut() = Some((link.socket.clone(), end));
-    let Ok(response) = link.sender.send_request(request).await else { return Outcome::Dropped.into() };
+    let Ok(response) = link.sender.send_request(request).await else {
+        net.count(|c| &mut c.resets);
+        return Outcome::Dropped.into();
+    };
     if link.socket.written.get() != end {
         debug_assert!(false, "a request's size was not foreseen");
         net.count(|c| &mut c.size_mismatch);
@@ -430,7 +433,10 @@
                 }
                 "failed" => Outcome::Error,
                 "returned" => Outcome::Shed,
-                "lost" => Outcome::Dropped,
+                "lost" => {
+                    net.count(|c| &mut c.lost_jobs);
+                    Outcome::Dropped
+                }
                 _ => continue, // a word of a later day
             };
             let load = line.load.map(Load::from);
@@ -441,6 +447,7 @@
             return Outcome::Dropped.into();
         }
     }
+    net.count(|c| &mut c.early_ends);
     Outcome::Dropped.into()
 }
 
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -24,6 +24,8 @@
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 /// What an answer may take beyond the hold: later than this, the changes count as told anyway.
 const BEYOND_HOLD: Duration = Duration::from_secs(2);
+/// The longest that connecting may take.
+const DIAL: Duration = Duration::from_secs(1);
 /// The largest list that is read.
 const LARGEST_LIST: usize = 1 << 20;
 
@@ -135,7 +137,8 @@
 ) -> Result<Answer, String> {
     let address = net.config.director;
     if link.as_ref().is_none_or(Link::is_dead) {
-        *link = Some(Link::dial(address).await.map_err(|e| format!("cannot connect: {e}"))?);
+        let dial = async { Link::dial(address).await.map_err(|e| format!("cannot connect: {e}")) };
+        *link = Some(in_time(DIAL, dial).await?);
     }
     let link = link.as_mut().ok_or("no connection")?;
     let path = match from {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -39,6 +39,9 @@
 /// How long to wait where accepting fails for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a connection that is to close may stand without a req.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
+
 static REQ_ID: HeaderName = HeaderName::from_static("req-id");
 static REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
@@ -59,6 +62,7 @@
 /// A client's connection: idle since when, or busy with a req.
 struct Client {
     idle_since: Cell<Option<Micros>>,
+    told_to_close: Cell<bool>,
     close: Notify,
 }
 
@@ -73,9 +77,10 @@
     /// Asks the connection that has been idle for longest to close; tells whether there was one.
     fn close_oldest(&self) -> bool {
         let open = self.open.borrow();
-        let idle = open.iter().filter_map(|c| c.idle_since.get().map(|since| (since, c)));
+        let staying = open.iter().filter(|c| !c.told_to_close.get());
+        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| (since, c)));
         let Some((_, oldest)) = idle.min_by_key(|(since, _)| *since) else { return false };
-        oldest.idle_since.set(None);
+        oldest.told_to_close.set(true);
         oldest.close.notify_one();
         true
     }
@@ -127,7 +132,11 @@
 
 fn welcome(net: &Rc<Net>, clients: &Rc<Clients>, stream: TcpStream) {
     _ = stream.set_nodelay(true);
-    let client = Rc::new(Client { idle_since: Cell::new(Some(net.clock.now())), close: Notify::new() });
+    let client = Rc::new(Client {
+        idle_since: Cell::new(Some(net.clock.now())),
+        told_to_close: Cell::new(false),
+        close: Notify::new(),
+    });
     clients.open.borrow_mut().push(client.clone());
     let (net, clients) = (net.clone(), clients.clone());
     tokio::task::spawn_local(async move {
@@ -156,7 +165,12 @@
     }
     // Idle: it closes now. Busy: it closes after the answer, which says so.
     connection.as_mut().graceful_shutdown();
-    _ = connection.await;
+    // Guards against a client that has begun a head and never ends it: hyper would wait for it.
+    while tokio::time::timeout(CLOSE_WAIT, connection.as_mut()).await.is_err() {
+        if client.idle_since.get().is_some() {
+            return;
+        }
+    }
 }
 
 // ---- Requests ----
@@ -257,10 +271,12 @@
     if body.size_hint().lower() > LARGEST_BODY as u64 {
         return Err(too_large());
     }
-    let body = match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
-        Err(_) => return Err(bad("broken body\n")),
+    let body = Limited::new(body, LARGEST_BODY).collect();
+    let body = match tokio::time::timeout_at(net.clock.instant(deadline), body).await {
+        Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body never came\n")),
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
+        Ok(Err(_)) => return Err(bad("broken body\n")),
     };
     job.remaining = deadline.saturating_sub(net.clock.now());
     let mut headers = HeaderMap::with_capacity(8);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -65,6 +65,9 @@
     pub dials: u64,
     pub reused: u64,
     pub dead_idle: u64,
+    pub resets: u64,
+    pub early_ends: u64,
+    pub lost_jobs: u64,
     pub malformed_lines: u64,
     pub wrong_id_lines: u64,
     pub no_socket: u64,
@@ -135,7 +138,7 @@
     log!(
         "{} listens on {}, director {}, {} sockets",
         net.config.name,
-        net.config.listen,
+        listener.local_addr()?,
         net.config.director,
         net.config.sockets
     );
--- /dev/null
+++ b/tests/model.rs
@@ -0,0 +1,300 @@
+//! A model of a req's and its fetches' states, against which random steps of the facade are held.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Poll, Wake, Waker};
+
+use oakshed::facade::*;
+use oakshed::interface::{Class, Effect, Scope};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const MS: Micros = 1_000;
+const OUTCOMES: [Outcome; 6] =
+    [Outcome::Served, Outcome::Error, Outcome::Shed, Outcome::DialFailed, Outcome::Dropped, Outcome::Unused];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Take(u32, u64),
+    Start(usize),
+    End(usize, usize),
+    Leave(usize),
+    List(usize, bool),
+    Failed,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..400u64).prop_map(Step::Wait),
+        6 => (0..2u32, 1..5_000u64).prop_map(|(c, left)| Step::Take(c, left)),
+        3 => any::<usize>().prop_map(Step::Start),
+        6 => (any::<usize>(), 0..OUTCOMES.len()).prop_map(|(n, o)| Step::End(n, o)),
+        1 => any::<usize>().prop_map(Step::Leave),
+        1 => (0..4usize, any::<bool>()).prop_map(|(b, ready)| Step::List(b, ready)),
+        1 => Just(Step::Failed),
+    ]
+}
+
+fn settings() -> Settings {
+    let class = |worth: f64, effect: Effect| Class {
+        aim: 150 * MS,
+        stretch: 2.0,
+        deadline: 5_000 * MS,
+        worth,
+        priority: 0,
+        effect,
+        scope: Scope::All,
+        window: 7_500 * MS,
+        kind: None,
+    };
+    let classes = vec![class(10.0, Effect::Unsafe), class(30.0, Effect::Keyed)];
+    Settings { classes, max_attempts: 4, list_on_request: true, ..Settings::default() }
+}
+
+/// Notes that it was woken.
+struct Flag(AtomicBool);
+
+impl Wake for Flag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A fetch: out until it has ended.
+struct Out {
+    until: Micros,
+    ended: Option<Outcome>,
+}
+
+/// A req: waiting until it is answered or its client is gone.
+struct Waiting {
+    class: u32,
+    woken: Arc<Flag>,
+    fetches: Vec<Out>,
+    over: bool,
+}
+
+struct World {
+    facade: Facade,
+    now: Micros,
+    reqs: HashMap<Req, Waiting>,
+    order: Vec<Req>,
+    ready: [bool; 4],
+    timer: Arc<Flag>,
+    next: Option<Micros>,
+    subscriptions: u32,
+}
+
+fn flag() -> Arc<Flag> {
+    Arc::new(Flag(AtomicBool::new(true)))
+}
+
+impl World {
+    fn new() -> Self {
+        let facade = Facade::new(settings(), 3).expect("usable");
+        let (reqs, order) = (HashMap::new(), Vec::new());
+        let mut world = World {
+            facade,
+            now: 50_000 * MS,
+            reqs,
+            order,
+            ready: [true; 4],
+            timer: flag(),
+            next: None,
+            subscriptions: 0,
+        };
+        let all: Vec<Entry> = (0..4).map(|b| world.entry(b)).collect();
+        world.facade.report(world.now, Seen::List(ListKind::Remembered, &all));
+        world.settle();
+        world
+    }
+
+    fn entry(&self, backend: usize) -> Entry {
+        let condition = if self.ready[backend] { Condition::Active } else { Condition::Leaving };
+        Entry {
+            backend: format!("s-{backend}").into(),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            condition,
+            online_since: 0,
+        }
+    }
+
+    /// Runs every handler that was woken, and the timer, until nothing more is to be done. A handler
+    /// that was not woken must have nothing to do.
+    fn settle(&mut self) {
+        if self.timer.0.swap(false, Ordering::SeqCst) || self.next.is_some_and(|at| at <= self.now) {
+            let due = self.facade.tick(self.now, &Waker::from(self.timer.clone()));
+            assert!(due.next.is_none_or(|at| at > self.now), "a timer that is always due");
+            self.subscriptions += u32::from(due.subscribe);
+            self.next = due.next;
+        }
+        for req in self.order.clone() {
+            while !self.reqs[&req].over {
+                let woken = self.reqs[&req].woken.clone();
+                let was = woken.0.swap(false, Ordering::SeqCst);
+                match self.facade.pick(req, &Waker::from(woken)) {
+                    Poll::Pending => break,
+                    Poll::Ready(step) => {
+                        self.reqs[&req].woken.0.store(true, Ordering::SeqCst);
+                        assert!(was, "a handler was left asleep");
+                        self.take_step(req, step);
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_step(&mut self, req: Req, step: oakshed::facade::Step) {
+        use oakshed::facade::Step;
+        let r = self.reqs.get_mut(&req).expect("known");
+        let may_have_run = r
+            .fetches
+            .iter()
+            .any(|f| !matches!(f.ended, Some(Outcome::Shed | Outcome::DialFailed | Outcome::Unused)));
+        match step {
+            Step::Fetch { fetch, backend, until } => {
+                assert_eq!(fetch, r.fetches.len(), "fetches are numbered in order");
+                assert!(fetch < 4 && until >= self.now);
+                assert!(
+                    self.ready[backend[2..].parse::<usize>().expect("a number")],
+                    "a fetch to who drains"
+                );
+                assert!(r.class != 0 || !may_have_run, "a transfer was sent twice");
+                r.fetches.push(Out { until, ended: None });
+                return;
+            }
+            Step::Serve { fetch } => {
+                assert_eq!(r.fetches[fetch].ended, Some(Outcome::Served), "only a result is served");
+            }
+            Step::Synthetic { .. } => {
+                assert!(r.class != 0 || !may_have_run, "refused though it may have run")
+            }
+            Step::Fail => {}
+            Step::Drop { fetch } => panic!("fetch {fetch} is to be dropped before the answer"),
+        }
+        self.leave(req);
+    }
+
+    fn leave(&mut self, req: Req) {
+        let drops = self.facade.leave(self.now, req);
+        let r = self.reqs.get_mut(&req).expect("known");
+        assert!(!std::mem::replace(&mut r.over, true), "ended twice");
+        for fetch in drops {
+            // What was decided on but never begun is not known here.
+            if let Some(out) = r.fetches.get_mut(fetch) {
+                assert_eq!(out.ended.replace(Outcome::Revoked), None, "dropped after its end");
+            }
+        }
+    }
+
+    fn end(&mut self, req: Req, fetch: usize, outcome: Outcome) {
+        self.reqs.get_mut(&req).expect("known").fetches[fetch].ended = Some(outcome);
+        self.facade.report(self.now, Seen::Ended(req, fetch, outcome, None));
+        // A second word on the same fetch, as when it ends while it is dropped, changes nothing.
+        self.facade.report(self.now, Seen::Ended(req, fetch, Outcome::Dropped, None));
+    }
+
+    /// Time passes: the timer comes due, and fetches run out.
+    fn wait_until(&mut self, until: Micros) {
+        loop {
+            let open = self.reqs.iter().flat_map(|(req, r)| {
+                let open = r.fetches.iter().enumerate().filter(|(_, f)| f.ended.is_none());
+                open.map(|(n, f)| (f.until, Some((*req, n))))
+            });
+            let timer = self.next.map(|at| (at, None));
+            let first = open.chain(timer).min_by_key(|(at, what)| (*at, what.is_some()));
+            let Some((at, what)) = first.filter(|(at, _)| *at <= until) else { break };
+            self.now = self.now.max(at);
+            what.into_iter().for_each(|(req, fetch)| self.end(req, fetch, Outcome::Expired));
+            self.settle();
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, step: Step) {
+        let open = |w: &World, pick: usize| {
+            let of = |req: &Req| {
+                let open = w.reqs[req].fetches.iter().enumerate().filter(|(_, f)| f.ended.is_none());
+                open.map(|(n, _)| (*req, n)).collect::<Vec<_>>()
+            };
+            let open: Vec<_> = w.order.iter().flat_map(of).collect();
+            (!open.is_empty()).then(|| open[pick % open.len()])
+        };
+        match step {
+            Step::Wait(ms) => self.wait_until(self.now + ms * MS),
+            Step::Take(class, left) => {
+                let job = Job {
+                    class,
+                    tenant: None,
+                    slots: Some(1.0 + (left % 2) as f64),
+                    memory: None,
+                    key: None,
+                    hint: None,
+                    remaining: left * MS,
+                };
+                let req = self.facade.take(self.now, &job);
+                self.order.push(req);
+                self.reqs.insert(req, Waiting { class, woken: flag(), fetches: Vec::new(), over: false });
+            }
+            Step::Start(pick) => {
+                if let Some((req, fetch)) = open(self, pick) {
+                    self.facade.report(self.now, Seen::Started(req, fetch));
+                    self.facade.report(self.now, Seen::Progress(req, fetch));
+                }
+            }
+            Step::End(pick, outcome) => {
+                open(self, pick).into_iter().for_each(|(req, n)| self.end(req, n, OUTCOMES[outcome]));
+            }
+            Step::Leave(pick) => {
+                let waiting: Vec<Req> = self.order.iter().copied().filter(|r| !self.reqs[r].over).collect();
+                if !waiting.is_empty() {
+                    self.leave(waiting[pick % waiting.len()]);
+                }
+            }
+            Step::List(backend, ready) => {
+                self.ready[backend] = ready;
+                let entry = self.entry(backend);
+                self.facade.report(self.now, Seen::List(ListKind::Changes, &[entry]));
+            }
+            Step::Failed => self.facade.report(self.now, Seen::List(ListKind::Refused, &[])),
+        }
+        self.settle();
+    }
+}
+
+#[test]
+fn every_req_gets_one_answer_and_every_fetch_is_accounted_for() {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..150);
+    let outcome = runner.run(&steps, |steps| {
+        let mut world = World::new();
+        steps.into_iter().for_each(|s| world.step(s));
+        world.wait_until(world.now + 20_000 * MS);
+        assert!(world.reqs.values().all(|r| r.over), "a req was left without an answer");
+        let t = world.facade.tally();
+        assert_eq!(t.taken, t.served + t.synthetic + t.failed + t.gone);
+        assert_eq!(t.fetches, t.ended.iter().sum::<u64>(), "a fetch without an end, or with two");
+        assert_eq!((world.facade.owed(), t.broken), (0, 0));
+        assert!(world.subscriptions > 0, "the list is asked for");
+        Ok(())
+    });
+    outcome.expect("the model holds");
+}
+
+#[test]
+fn a_second_word_on_a_fetch_is_ignored_and_a_name_stays_a_name() {
+    let mut world = World::new();
+    let name: Rc<str> = "s-0".into();
+    world.facade.report(world.now, Seen::Probed(&name, true, Some(Load::default())));
+    world.step(Step::Take(0, 5_000));
+    world.step(Step::End(0, 0));
+    assert_eq!(world.facade.tally().served, 1);
+    assert_eq!(world.facade.tally().ended[Outcome::Served as usize], 1);
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,275 @@
+//! The program from outside: it is started, and spoken to over sockets. One test for each thing
+//! that its protocol promises, and for each failure found.
+
+mod peers;
+
+use std::io::{BufReader, Read, Write};
+use std::process::Command;
+use std::sync::atomic::Ordering;
+
+use peers::*;
+
+/// A backend that serves everything.
+fn good() -> Peer {
+    Peer::new(|message, stream| done(message, stream, "made"))
+}
+
+#[test]
+fn a_req_passes_through_unchanged_and_its_result_is_the_answer() {
+    let backend = good();
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let text = req("new-plate", "9b1f03aa5c7e2d41").replace("/new-plate ", "/new-plate/%7euser?x=%20&y ");
+    let answer = program.ask(&text);
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"made"[..]));
+    let seen = backend.seen.lock().unwrap()[0].clone();
+    assert_eq!(seen.first, "POST /new-plate/%7euser?x=%20&y HTTP/1.1");
+    assert_eq!(seen.field("req-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen.field("idempotency-key"), Some("5c0f"));
+    assert_eq!(seen.body, b"body");
+    let left: u64 = seen.field("req-deadline-ms").expect("a deadline").parse().expect("a number");
+    assert!((1..=5_000).contains(&left), "{left}");
+}
+
+#[test]
+fn backend_connections_are_used_again() {
+    let backend = good();
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut client = program.connect();
+    for n in 0..20 {
+        assert_eq!(ask_on(&mut client, &req("transfer", &format!("id-{n}"))).status(), 200);
+    }
+    program.signal("-TERM");
+    until("the log's last counts", || program.log().contains("stopped"));
+    let dials = program.log().rsplit("dials: ").next().and_then(|t| t.split(',').next()?.parse::<u32>().ok());
+    assert!(dials.is_some_and(|n| n < 20), "{dials:?} of 20");
+}
+
+#[test]
+fn what_is_malformed_gets_a_4xx_and_reaches_no_backend() {
+    let backend = good();
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let text = req("transfer", "id-1");
+    let large = 65 * 1024;
+    let cases = [
+        (text.replace("Req-Id: id-1\r\n", ""), 400),
+        (text.replace("id-1", "id 1"), 400),
+        (text.replace("id-1", &"9".repeat(200)), 400),
+        (text.replace("Req-Id: id-1\r\n", "Req-Id: id-1\r\nReq-Id: id-2\r\n"), 400),
+        (text.replace("Req-Kind: transfer", "Req-Kind: new-plate"), 400),
+        (text.replace("transfer", "scrapping"), 404),
+        (text.replace("POST /transfer", "GET /transfer"), 405),
+        (text.replace("POST /transfer", "POST /ready"), 405),
+        (text.replace("Length: 4", &format!("Length: {large}")) + &"x".repeat(large - 4), 413),
+        (req("new-plate", "id-2").replace("Idempotency-Key: 5c0f\r\n", ""), 400),
+    ];
+    for (text, status) in cases {
+        assert_eq!(program.ask(&text).status(), status, "{}", &text[..text.len().min(300)]);
+    }
+    assert_eq!(backend.count(), 0);
+    let odd =
+        text.replace("Req-Deadline-Ms: 5000", "Req-Deadline-Ms: soon").replace("slots=1", "slots=-1,,=x");
+    assert_eq!(
+        program.ask(&odd.replace("storholt-bilar", "nobody")).status(),
+        200,
+        "bad extras count as absent"
+    );
+}
+
+#[test]
+fn a_transfer_that_may_have_run_is_not_sent_again() {
+    // Each way in which an attempt ends without proof that it never ran.
+    let endings: [fn(&Message, &mut std::net::TcpStream) -> bool; 7] = [
+        |_, _| false,
+        |_, stream| status(stream, "500 Internal Server Error"),
+        |_, stream| status(stream, "503 Service Unavailable"),
+        |message, stream| {
+            let id = message.field("req-id").expect("an id");
+            chunk(stream, true, &format!("{{\"id\":\"{id}\",\"state\":\"started\"}}\n"));
+            false
+        },
+        |message, stream| {
+            let id = message.field("req-id").expect("an id");
+            chunk(stream, true, &format!("{{\"id\":\"{id}\",\"state\":\"lost\"}}\n"));
+            true
+        },
+        |_, stream| {
+            chunk(stream, true, "{\"id\":\"another\",\"state\":\"done\",\"result\":\"theirs\"}\n");
+            true
+        },
+        |_, stream| {
+            chunk(stream, true, &"no line ".repeat(10_000));
+            true
+        },
+    ];
+    for (n, ending) in endings.into_iter().enumerate() {
+        let backends = [Peer::new(ending), Peer::new(ending)];
+        let list = [("s-1", backends[0].address), ("s-2", backends[1].address)];
+        let program = Program::start(&Director::new(&list));
+        let answer = program.ask(&req("transfer", "id-1"));
+        assert_eq!(answer.status(), 502, "ending {n}");
+        assert_eq!(backends[0].count() + backends[1].count(), 1, "ending {n}");
+    }
+}
+
+#[test]
+fn what_provably_never_ran_goes_to_another_backend() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let turning_away = Peer::new(|_, stream| status(stream, "503 Busy\r\nSrv-Declined: 1"));
+    let handing_back = Peer::new(|message, stream| {
+        let id = message.field("req-id").expect("an id");
+        chunk(stream, true, &format!("{{\"id\":\"{id}\",\"state\":\"returned\"}}\n"));
+        stream.write_all(b"0\r\n\r\n").is_ok()
+    });
+    for bad in [gone, turning_away.address, handing_back.address] {
+        let backend = good();
+        let program = Program::start(&Director::new(&[("s-1", bad), ("s-2", backend.address)]));
+        for n in 0..6 {
+            assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
+        }
+        assert_eq!(backend.count(), 6);
+    }
+}
+
+#[test]
+fn a_line_may_come_in_pieces_and_a_result_with_escapes() {
+    let backend = Peer::new(|message, stream| {
+        let id = message.field("req-id").expect("an id");
+        let text = format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"a\\\"\\u00e9\"}}\n");
+        for (n, piece) in text.as_bytes().chunks(7).enumerate() {
+            chunk(stream, n == 0, std::str::from_utf8(piece).expect("text"));
+            _ = stream.flush();
+        }
+        stream.write_all(b"0\r\n\r\n").is_ok()
+    });
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    assert_eq!(program.ask(&req("transfer", "id-1")).body, "a\"é".as_bytes());
+}
+
+#[test]
+fn nothing_new_goes_to_a_backend_that_drains() {
+    let backends = [good(), good()];
+    let list = [("s-1", backends[0].address), ("s-2", backends[1].address)];
+    let director = Director::new(&list);
+    let program = Program::start(&director);
+    director.set("s-1", "draining");
+    until("the news", || program.log().contains("1 backends ready"));
+    let before = backends[0].count();
+    for n in 0..10 {
+        assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
+    }
+    assert_eq!((backends[0].count(), backends[1].count()), (before, 10));
+    director.set("s-2", "gone");
+    until("the news", || program.log().contains("0 backends ready"));
+    assert_eq!(program.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 503);
+    let answer = program.ask(&req("transfer", "id-x"));
+    assert_eq!(answer.status(), 503, "with nobody to send to, the client is told to come again");
+    let wait: f64 = answer.field("retry-after").expect("when").parse().expect("seconds");
+    assert!(wait > 0.0 && wait <= 2.0);
+}
+
+#[test]
+fn a_failing_director_is_asked_again_and_what_it_garbles_is_not_believed() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let program = Program::start(&director);
+    director.spoilt.lock().unwrap().extend([
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"genera}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n{\"generation\":9,\"instances\":[7]}",
+        "no HTTP at all\r\n\r\n",
+    ]);
+    until("each of them", || director.spoilt.lock().unwrap().is_empty());
+    director.set("s-1", "draining");
+    until("the news after", || program.log().contains("0 backends ready"));
+    director.set("s-1", "ready");
+    until("and again", || program.log().contains("entries, 1 backends ready"));
+    until("a served req", || program.ask(&req("transfer", "id-1")).status() == 200);
+}
+
+#[test]
+fn a_client_that_goes_away_takes_its_fetch_along() {
+    let backend = Peer::new(|message, stream| {
+        if message.first.contains("transfer") {
+            return done(message, stream, "made");
+        }
+        true // a new-plate is never answered
+    });
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut client = program.connect();
+    client.write_all(req("new-plate", "id-1").as_bytes()).expect("written");
+    until("the fetch", || backend.count() == 1);
+    drop(client);
+    until("its connection's end", || backend.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(program.ask(&req("transfer", "id-2")).status(), 200);
+}
+
+#[test]
+fn a_req_without_an_answer_ends_with_its_deadline() {
+    let backend = Peer::new(|_, _| true);
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let text = req("transfer", "id-1").replace("Deadline-Ms: 5000", "Deadline-Ms: 700");
+    let start = std::time::Instant::now();
+    assert_eq!(program.ask(&text).status(), 502);
+    assert!(start.elapsed().as_millis() >= 690, "not before the client gives up");
+    assert_eq!(backend.count(), 1);
+}
+
+#[test]
+fn idle_clients_make_room_when_descriptors_run_out() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 64);
+    let mut idle: Vec<_> = (0..60).map(|_| program.connect()).collect();
+    idle[0].write_all(b"POST /tra").expect("half a head");
+    let mut last = program.connect();
+    assert_eq!(ask_on(&mut last, &req("transfer", "id-1")).status(), 200);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).map_or(0, |d| d.count());
+    assert!(open <= 64, "{open} descriptors");
+}
+
+#[test]
+fn told_to_stop_it_serves_on_for_a_while_answers_all_and_exits_with_0() {
+    let (open, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let backend = Peer::new(move |message, stream| {
+        if message.field("req-id") == Some("slow") {
+            _ = gate.lock().unwrap().recv();
+        }
+        done(message, stream, "made")
+    });
+    let mut program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let (mut slow, mut kept, unused) = (program.connect(), program.connect(), program.connect());
+    let mut half = program.connect();
+    half.write_all(b"POST /tra").expect("half a head");
+    slow.write_all(req("transfer", "slow").as_bytes()).expect("written");
+    until("the slow fetch", || backend.count() == 1);
+    program.signal("-TERM");
+    until("the signal", || program.log().contains("told to stop"));
+    assert_eq!(ask_on(&mut kept, &req("transfer", "id-1")).status(), 200);
+    assert_eq!(program.ask(&req("transfer", "id-2")).status(), 200, "on a new connection");
+    until("the closing", || program.log().contains("closing"));
+    assert_eq!(kept.read(&mut [0]).expect("an end"), 0, "idle connections are closed");
+    open.send(()).expect("released");
+    let answer = Message::read(&mut BufReader::new(&mut slow)).expect("the slow answer");
+    assert_eq!((answer.status(), answer.field("connection")), (200, Some("close")));
+    assert_eq!(program.wait().code(), Some(0));
+    drop((unused, half));
+}
+
+#[test]
+fn a_value_that_cannot_be_used_is_named_in_one_line() {
+    let path = config("127.0.0.1:9".parse().expect("an address"), "null", 1024);
+    let run = |name: &str, value: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oakshed"));
+        let out = command.arg("check").env("ROUTER_CONFIG", &path).env(name, value).output().expect("run");
+        (out.status.code(), String::from_utf8(out.stderr).expect("text"))
+    };
+    assert_eq!(run("ROUTER_NAME", "n7").0, Some(0));
+    for (name, value) in
+        [("ROUTER_LISTEN", "here"), ("ROUTER_DISCOVERY", "10.2.0.1"), ("ROUTER_CONFIG", "/nowhere.json")]
+    {
+        let (code, error) = run(name, value);
+        assert_eq!((code, error.lines().count()), (Some(1), 1), "{error}");
+        assert!(error.contains(name), "{error}");
+    }
+    _ = std::fs::remove_file(path);
+}
