--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,9 @@
-//! The decisions of a dispatcher that pushes jobs to workers, without I/O, clock or threads.
+//! A scheduler that pushes jobs to workers: the decisions, and the program around them.
+//!
+//! [`decide`], [`interface`] and the private `state` are the decision module, without I/O, clock or
+//! threads; [`wire`] hosts it on a simulator's wire; [`facade`] is its blocking-style front, which
+//! [`net`] serves on sockets as [`config`] says. No layer may know of one that is named after it,
+//! but for the settings' reader in [`wire`], which serves both programs.
 //!
 //! Feed events to a [`Dispatcher`] and, once per batch, carry out the actions that it gives:
 //!
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -38,6 +38,8 @@
 const LONGEST_LINE: usize = 64 << 10;
 /// How long the rest of an answer may take until its connection is given up.
 const REST: Duration = Duration::from_millis(500);
+/// The longest that a dial may take where the settings don't say.
+const DIAL: Duration = Duration::from_secs(1);
 /// Between two looks at the idle connections.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -230,6 +232,14 @@
     }
 }
 
+/// How long a dial may take. Guards against settings without a limit, under which none would succeed.
+fn dial_limit(net: &Net) -> Duration {
+    match net.config.settings.connect_timeout {
+        0 => DIAL,
+        limit => Duration::from_micros(limit),
+    }
+}
+
 /// How long a connection is kept idle: half of what the other side may.
 fn keep(net: &Net) -> Micros {
     net.config.settings.idle_close / 2
@@ -463,8 +473,7 @@
         return Err(Outcome::Unused);
     };
     net.count(|c| &mut c.dials);
-    let limit = Duration::from_micros(net.config.settings.connect_timeout);
-    match timeout(limit, Link::open(address, Some(slot))).await {
+    match timeout(dial_limit(net), Link::open(address, Some(slot))).await {
         Ok(Ok(link)) => Ok(link),
         _ => Err(Outcome::DialFailed),
     }
@@ -548,8 +557,7 @@
 
 /// Asks a backend for its load, where the decisions want it.
 pub(crate) async fn probe(net: Rc<Net>, to: Rc<str>) {
-    let limit = Duration::from_micros(2 * net.config.settings.connect_timeout);
-    let load = timeout(limit, ask_load(&net, &to)).await.ok().flatten();
+    let load = timeout(2 * dial_limit(&net), ask_load(&net, &to)).await.ok().flatten();
     net.report(Seen::Probed(&to, load.is_some(), load));
 }
 
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -17,11 +17,15 @@
 use super::backends::Link;
 use super::{log, Net};
 use crate::facade::{Condition, Entry, ListKind, Seen};
-use crate::wire::Names;
+use crate::wire::{self, Names};
 
 const PATH: &str = "/v1/endpoints";
-/// The longest a watch may be asked to hold.
+/// The shortest and the longest a watch is asked to hold.
+const SHORTEST_HOLD: Duration = Duration::from_secs(1);
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
+/// The pause after an answer that came at once and holds no news: half the time within which the
+/// next call of a watch must come.
+const PAUSE: Duration = Duration::from_millis(100);
 /// What an answer may take beyond the hold: later than this, the changes count as told anyway.
 const BEYOND_HOLD: Duration = Duration::from_secs(2);
 /// The longest that connecting may take.
@@ -51,7 +55,7 @@
     cell: u32,
     lifecycle: String,
     #[serde(default)]
-    started_at_ms: u64,
+    started_at_ms: f64,
 }
 
 impl Answer {
@@ -77,7 +81,7 @@
                 // Draining, or a word of a later day: nothing new goes there.
                 _ => Condition::Leaving,
             },
-            online_since: self.started_at_ms.saturating_mul(1_000),
+            online_since: wire::micros(self.started_at_ms),
         }
     }
 }
@@ -103,16 +107,21 @@
 /// Watches the list whenever the facade asks for it, until a call fails.
 pub(crate) async fn run(net: Rc<Net>) {
     let mut generation = net.config.known.as_ref().map(|known| known.generation);
-    let hold = Duration::from_micros(net.config.settings.ask_every / 2).min(LONGEST_HOLD);
+    let hold = Duration::from_micros(net.config.settings.ask_every / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD);
     let mut link = None;
     loop {
         net.subscribe.notified().await;
         let failure = loop {
             net.count(|c| &mut c.director_calls);
+            let called = net.clock.now();
             match in_time(hold + BEYOND_HOLD, call(&net, &mut link, generation, hold)).await {
                 Ok(answer) => {
                     generation = Some(answer.generation);
                     apply(&net, &answer, if answer.reset { ListKind::All } else { ListKind::Changes });
+                    // Guards against a director that does not hold: calls would chase each other.
+                    if answer.instances.is_empty() && net.clock.now() < called + PAUSE.as_micros() as u64 {
+                        tokio::time::sleep(PAUSE).await;
+                    }
                 }
                 Err(failure) => break failure,
             }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -225,6 +225,10 @@
     let mut parts = target.path().split('/').skip(1);
     let class = parts.next().and_then(|kind| names.classes.iter().position(|c| c == kind));
     let Some(class) = class else { return Err(plain(StatusCode::NOT_FOUND, "no such class\n")) };
+    let key = parts.next().filter(|key| !key.is_empty());
+    if parts.next().is_some() {
+        return Err(plain(StatusCode::NOT_FOUND, "no such path\n"));
+    }
     if head.method != Method::POST {
         return Err(not_allowed("POST"));
     }
@@ -264,7 +268,7 @@
         slots: extra("slots"),
         memory: extra("memory"),
         // Where a path goes on after the class, it ends with what the req concerns.
-        key: parts.last().filter(|k| !k.is_empty()).map(wire::number_of),
+        key: key.map(wire::number_of),
         hint: None,
         remaining: 0,
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,9 +29,13 @@
 /// listener, the director, and what is on its way from closed to gone.
 const RESERVED_SOCKETS: usize = 32;
 
-/// Writes one line to the log.
+/// Writes one line to the log. Guards against a log that nobody reads any more: `eprintln!` would
+/// end the program.
 macro_rules! log {
-    ($($arg:tt)*) => { eprintln!("oakshed: {}", format_args!($($arg)*)) };
+    ($($arg:tt)*) => {{
+        use std::io::Write as _;
+        _ = writeln!(std::io::stderr().lock(), "oakshed: {}", format_args!($($arg)*));
+    }};
 }
 pub(crate) use log;
 
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -70,7 +70,7 @@
 pub struct Peer {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Message>>>,
-    /// Connections that the other side has ended.
+    /// Connections that have ended.
     pub ended: Arc<AtomicUsize>,
 }
 
@@ -90,9 +90,10 @@
                     while let Some(message) = Message::read(&mut reader) {
                         keep.lock().unwrap().push(message.clone());
                         if !script(&message, &mut stream) {
-                            return;
+                            break;
                         }
                     }
+                    drop((reader, stream));
                     ends.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -206,12 +207,19 @@
 
 impl Program {
     pub fn start(director: &Director) -> Program {
-        Program::start_with(director, 1024)
+        Program::start_with(director, 1024, &[])
     }
 
-    pub fn start_with(director: &Director, sockets: usize) -> Program {
+    /// With fewer descriptors, or with parts of the settings replaced.
+    pub fn start_with(director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
         let known = list(&director.told.0.lock().unwrap(), true, false);
         let path = config(director.peer.address, &known, sockets);
+        let text = std::fs::read_to_string(&path).expect("just written");
+        let edit = |text: String, (from, to): &(&str, &str)| {
+            assert!(text.contains(from), "{from} is not in the settings");
+            text.replace(from, to)
+        };
+        std::fs::write(&path, edits.iter().fold(text, edit)).expect("written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_oakshed"))
             .arg("serve")
             .env("ROUTER_CONFIG", &path)
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -44,6 +44,52 @@
     assert!(dials.is_some_and(|n| n < 20), "{dials:?} of 20");
 }
 
+#[test]
+fn a_backend_that_closes_after_each_answer_loses_no_req() {
+    let backend = Peer::new(|message, stream| {
+        done(message, stream, "made");
+        false
+    });
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    for n in 1..=20 {
+        assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
+        until("its close", || backend.ended.load(Ordering::SeqCst) == n);
+    }
+}
+
+#[test]
+fn where_starts_are_not_told_load_is_asked_for() {
+    let backends: Vec<Peer> = ["0", "6"]
+        .into_iter()
+        .map(|free| {
+            Peer::new(move |message, stream| {
+                let text = format!("TEXT inflight=1, queue=0, x0={free}");
+                match message.first.starts_with("GET /status/load ") {
+                    true => stream
+                        .write_all(
+                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+                                .as_bytes(),
+                        )
+                        .is_ok(),
+                    false => done(message, stream, "made"),
+                }
+            })
+        })
+        .collect();
+    let list = [("s-1", backends[0].address), ("s-2", backends[1].address)];
+    let edits = [
+        (r#""tells-start":true"#, r#""tells-start":false"#),
+        (r#""max-attempts":4"#, r#""max-attempts":4,"may-probe":true"#),
+        (r#""resolution-ms":4"#, r#""resolution-ms":4,"load-info":{"how":"probe","columns":["x0"]}"#),
+    ];
+    let program = Program::start_with(&Director::new(&list), 1024, &edits);
+    for n in 0..5 {
+        assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
+    }
+    let jobs = |b: &Peer| b.seen.lock().unwrap().iter().filter(|m| m.first.starts_with("POST")).count();
+    assert_eq!((jobs(&backends[0]), jobs(&backends[1])), (0, 5), "jobs go where slots are free");
+}
+
 #[test]
 fn what_is_malformed_gets_a_4xx_and_reaches_no_backend() {
     let backend = good();
@@ -57,6 +103,7 @@
         (text.replace("Req-Id: id-1\r\n", "Req-Id: id-1\r\nReq-Id: id-2\r\n"), 400),
         (text.replace("Req-Kind: transfer", "Req-Kind: new-plate"), 400),
         (text.replace("transfer", "scrapping"), 404),
+        (text.replace("/transfer ", "/transfer/a/b "), 404),
         (text.replace("POST /transfer", "GET /transfer"), 405),
         (text.replace("POST /transfer", "POST /ready"), 405),
         (text.replace("Length: 4", &format!("Length: {large}")) + &"x".repeat(large - 4), 413),
@@ -217,7 +264,7 @@
 #[test]
 fn idle_clients_make_room_when_descriptors_run_out() {
     let backend = good();
-    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 64);
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 64, &[]);
     let mut idle: Vec<_> = (0..60).map(|_| program.connect()).collect();
     idle[0].write_all(b"POST /tra").expect("half a head");
     let mut last = program.connect();
