Use the module's endings and reports in the facade, and count broken assumptions

The facade's Outcome and Load repeated interface.rs's Ending and Report line for line; they carry no events, actions or ids, so the facade hands on the originals. What must hold on the network side is now asserted and counted in one place (Net::must), and a missing fetch no longer panics. The counts in the log have names.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -12,8 +12,8 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::interface::{Action, Ending, Event, Report, RequestId, Row, WorkerId};
-pub use crate::interface::{Condition, ListKind, Micros, Settings, SettingsError};
+use crate::interface::{Action, Event, RequestId, Row, WorkerId};
+pub use crate::interface::{Condition, Ending, ListKind, Micros, Report, Settings, SettingsError};
 use crate::wire::worker_id;
 use crate::Dispatcher;
 
@@ -64,47 +64,13 @@
     },
     /// Final: failed, nothing promised.
     Fail,
-    /// Stop waiting for this fetch, and report it as [`Outcome::Revoked`].
+    /// Stop waiting for this fetch, and report it as [`Ending::Revoked`].
     Drop {
         /// Which one.
         fetch: usize,
     },
 }
 
-/// How a fetch ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A result came.
-    Served,
-    /// The backend answered with an error; it may have run.
-    Error,
-    /// Turned away or handed back unstarted; it never ran.
-    Shed,
-    /// Nothing came in time; it may have run.
-    Expired,
-    /// Provably not all of it was written; it never ran.
-    DialFailed,
-    /// The connection or the job was lost; it may have run.
-    Dropped,
-    /// Given up on [`Step::Drop`]; it may have run.
-    Revoked,
-    /// Not sent at all, for a reason that is not the backend's.
-    Unused,
-}
-
-/// A backend's load, as far as it was told.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Free slots.
-    pub free_slots: Option<f64>,
-    /// Free memory units.
-    pub free_memory: Option<f64>,
-    /// Requests in hand.
-    pub outstanding: Option<f64>,
-    /// Requests waiting.
-    pub backlog: Option<f64>,
-}
-
 /// One entry of the director's list, with names resolved to the settings' indices.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -132,9 +98,9 @@
     /// The job of a fetch makes progress.
     Progress(Req, usize),
     /// A fetch ended.
-    Ended(Req, usize, Outcome, Option<Load>),
+    Ended(Req, usize, Ending, Option<Report>),
     /// A probe came back; no load where it failed.
-    Probed(&'a Rc<str>, bool, Option<Load>),
+    Probed(&'a Rc<str>, bool, Option<Report>),
 }
 
 /// What is due besides the steps of reqs.
@@ -163,12 +129,22 @@
     pub gone: u64,
     /// Fetches begun.
     pub fetches: u64,
-    /// Fetches by how they ended, in the order of [`Outcome`].
+    /// Fetches by how they ended, in the order of [`Ending`].
     pub ended: [u64; 8],
     /// Broken assumptions; asserted in debug builds.
     pub broken: u64,
 }
 
+impl std::fmt::Display for Tally {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Tally { taken, served, synthetic, failed, gone, fetches, ended, broken } = self;
+        write!(f, "taken={taken} served={served} synthetic={synthetic} failed={failed} gone={gone} ")?;
+        write!(f, "broken={broken} fetches={fetches}")?;
+        let names = ["delivered", "error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused"];
+        names.iter().zip(ended).try_for_each(|(name, n)| write!(f, " {name}={n}"))
+    }
+}
+
 /// A req as this file knows it.
 struct Open {
     steps: VecDeque<Step>,
@@ -243,7 +219,7 @@
     /// when there is one.
     pub fn pick(&mut self, req: Req, waker: &Waker) -> Poll<Step> {
         let Some(open) = self.reqs.get_mut(&req.0) else {
-            self.broken(false, "a step was asked for after the req's end");
+            self.must(false, "a step was asked for after the req's end");
             return Poll::Ready(Step::Fail);
         };
         match open.steps.pop_front() {
@@ -269,13 +245,12 @@
         for step in steps.into_iter().flatten() {
             match step {
                 // Decided on, but never begun.
-                Step::Fetch { fetch, .. } => _ = self.on_ended(now, req, fetch, Outcome::Unused, None),
+                Step::Fetch { fetch, .. } => _ = self.on_ended(now, req, fetch, Ending::Unused, None),
                 // One that has ended since is left alone: its connection may serve others.
-                Step::Drop { fetch } if self.on_ended(now, req, fetch, Outcome::Revoked, None) => {
+                Step::Drop { fetch } if self.on_ended(now, req, fetch, Ending::Revoked, None) => {
                     drops.push(fetch);
                 }
-                Step::Drop { .. } => {}
-                Step::Serve { .. } | Step::Synthetic { .. } | Step::Fail => {}
+                Step::Drop { .. } | Step::Serve { .. } | Step::Synthetic { .. } | Step::Fail => {}
             }
         }
         self.forget(req);
@@ -294,10 +269,10 @@
                 let worker = self.reqs.get(&req.0).and_then(|open| *open.fetches.get(fetch)?);
                 worker.into_iter().for_each(|worker| self.feed(now, Event::Progress { worker }));
             }
-            Seen::Ended(req, fetch, outcome, load) => _ = self.on_ended(now, req, fetch, outcome, load),
-            Seen::Probed(backend, ok, load) => {
+            Seen::Ended(req, fetch, ending, report) => _ = self.on_ended(now, req, fetch, ending, report),
+            Seen::Probed(backend, ok, report) => {
                 let ending = if ok { Ending::Delivered } else { Ending::DialFailed };
-                let (worker, report) = (worker_id(backend), load.map(report));
+                let worker = worker_id(backend);
                 self.feed(now, Event::Probed { worker, ending, report });
             }
         }
@@ -337,7 +312,7 @@
         for (row, entry) in rows.iter().zip(entries) {
             let known = self.backends.entry(row.worker).or_insert_with(|| entry.backend.clone());
             let same = *known == entry.backend;
-            self.broken(same, "two backends share a number");
+            self.must(same, "two backends share a number");
         }
         self.feed(now, Event::List { kind, rows: &rows });
     }
@@ -349,30 +324,20 @@
         now: Micros,
         req: Req,
         fetch: usize,
-        outcome: Outcome,
-        load: Option<Load>,
+        ending: Ending,
+        report: Option<Report>,
     ) -> bool {
         let Some(open) = self.reqs.get_mut(&req.0) else { return false };
         if open.fetches.get_mut(fetch).and_then(Option::take).is_none() {
             return false;
         }
-        self.tally.ended[outcome as usize] += 1;
-        if outcome == Outcome::Served && !open.over {
+        self.tally.ended[ending as usize] += 1;
+        if ending == Ending::Delivered && !open.over {
             self.tally.served += 1;
             open.over = true;
             open.push(Step::Serve { fetch });
         }
-        let ending = match outcome {
-            Outcome::Served => Ending::Delivered,
-            Outcome::Error => Ending::Error,
-            Outcome::Shed => Ending::Shed,
-            Outcome::Expired => Ending::Expired,
-            Outcome::DialFailed => Ending::DialFailed,
-            Outcome::Dropped => Ending::Dropped,
-            Outcome::Revoked => Ending::Revoked,
-            Outcome::Unused => Ending::Unused,
-        };
-        let (finished, report) = (open.over, load.map(report));
+        let finished = open.over;
         let (id, attempt) = (RequestId(req.0.into()), fetch as u32);
         self.feed(now, Event::Settled { id, attempt, ending, finished, report });
         self.forget(req);
@@ -403,14 +368,14 @@
             Action::Send { id, worker, abandon_at } => {
                 let backend = self.backends.get(&worker).cloned();
                 let (Some(backend), Some(open)) = (backend, self.reqs.get_mut(&(id.0 as u64))) else {
-                    return self.broken(false, "a fetch for an unknown req or backend");
+                    return self.must(false, "a fetch for an unknown req or backend");
                 };
                 let over = open.over;
                 let (fetch, until) = (open.fetches.len(), abandon_at.unwrap_or(open.deadline));
                 open.fetches.push(Some(worker));
                 open.push(Step::Fetch { fetch, backend, until: until.min(open.deadline) });
                 self.tally.fetches += 1;
-                self.broken(!over, "a fetch after the final answer");
+                self.must(!over, "a fetch after the final answer");
             }
             Action::Refuse { id, retry_after } => {
                 self.tally.synthetic += self.answer(id, Step::Synthetic { retry_after });
@@ -447,7 +412,7 @@
             }
             _ => false,
         };
-        self.broken(first, "a second final answer");
+        self.must(first, "a second final answer");
         u64::from(first)
     }
 
@@ -456,7 +421,7 @@
     }
 
     /// What must hold is asserted in debug builds and counted in release builds.
-    fn broken(&mut self, holds: bool, what: &str) {
+    fn must(&mut self, holds: bool, what: &str) {
         debug_assert!(holds, "{what}");
         self.tally.broken += u64::from(!holds);
     }
@@ -468,8 +433,3 @@
         self.waker.take().into_iter().for_each(Waker::wake);
     }
 }
-
-fn report(load: Load) -> Report {
-    let Load { free_slots, free_memory, outstanding, backlog } = load;
-    Report { free_slots, free_memory, outstanding, backlog }
-}
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -32,7 +32,7 @@
 use tokio::time::timeout;
 
 use super::Net;
-use crate::facade::{Condition, Entry, Load, Micros, Outcome, Req, Seen};
+use crate::facade::{Condition, Ending, Entry, Micros, Report, Req, Seen};
 
 /// The longest line of a job's stream: no body on the platform is longer.
 const LONGEST_LINE: usize = 64 << 10;
@@ -279,7 +279,6 @@
         headers.clone_from(&self.headers);
         headers.insert(CONTENT_LENGTH, self.body.len().into());
         headers.insert(&REQ_DEADLINE, (self.deadline.saturating_sub(now) / 1_000).into());
-        debug_assert!(headers.contains_key(HOST));
         Ok(request)
     }
 }
@@ -337,16 +336,16 @@
         let sent = Sent::default();
         let run = run(&net, &order, (req, fetch), &to, &sent, tx);
         let ended = tokio::time::timeout_at(net.clock.instant(until), run).await;
-        let (outcome, load, rest) = match ended {
-            Ok(Ended { outcome, load, rest }) => (outcome, load, rest),
-            Err(_) => (Outcome::Expired, None, None),
+        let (ending, load, rest) = match ended {
+            Ok(Ended { ending, load, rest }) => (ending, load, rest),
+            Err(_) => (Ending::Expired, None, None),
         };
         // Dropped and Expired are for what may have run; what was not written in full never did.
-        let outcome = match outcome {
-            Outcome::Dropped | Outcome::Expired if !sent.in_full() => Outcome::DialFailed,
-            outcome => outcome,
+        let ending = match ending {
+            Ending::Dropped | Ending::Expired if !sent.in_full() => Ending::DialFailed,
+            ending => ending,
         };
-        net.report(Seen::Ended(req, fetch, outcome, load));
+        net.report(Seen::Ended(req, fetch, ending, load));
         if let Some((link, body)) = rest {
             _ = timeout(REST, finish(&net, &to, link, body)).await;
         }
@@ -356,14 +355,14 @@
 
 /// How a fetch ended, and what is left of its connection where that is still good.
 struct Ended {
-    outcome: Outcome,
-    load: Option<Load>,
+    ending: Ending,
+    load: Option<Report>,
     rest: Option<(Link, Incoming)>,
 }
 
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Self {
-        Ended { outcome, load: None, rest: None }
+impl From<Ending> for Ended {
+    fn from(ending: Ending) -> Self {
+        Ended { ending, load: None, rest: None }
     }
 }
 
@@ -377,30 +376,27 @@
 ) -> Ended {
     let mut link = match connect(net, to).await {
         Ok(link) => link,
-        Err(outcome) => return outcome.into(),
+        Err(ending) => return ending.into(),
     };
     // The dial may have outlasted the time in which sends to a draining backend must end.
     if net.backends.address(to).is_none() {
         net.count(|c| &mut c.drained_before_send);
-        return Outcome::Unused.into();
+        return Ending::Unused.into();
     }
-    let Ok(request) = order.request(net.clock.now()) else { return Outcome::Unused.into() };
+    let Ok(request) = order.request(net.clock.now()) else { return Ending::Unused.into() };
     let end = link.socket.written.get() + size_of(&request, order.body.len());
     *sent.0.borrow_mut() = Some((link.socket.clone(), end));
     let Ok(response) = link.sender.send_request(request).await else {
         net.count(|c| &mut c.resets);
-        return Outcome::Dropped.into();
+        return Ending::Dropped.into();
     };
-    if link.socket.written.get() != end {
-        debug_assert!(false, "a request's size was not foreseen");
-        net.count(|c| &mut c.size_mismatch);
-    }
+    net.must(link.socket.written.get() == end, "a request is as long as reckoned");
     let (head, mut body) = response.into_parts();
     if head.status != StatusCode::OK {
         let declined = head.headers.get(&SRV_DECLINED).is_some_and(|v| v == "1");
         let busy = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
-        let outcome = if declined && busy { Outcome::Shed } else { Outcome::Error };
-        return Ended { outcome, load: load_in(&head.headers), rest: Some((link, body)) };
+        let ending = if declined && busy { Ending::Shed } else { Ending::Error };
+        return Ended { ending, load: load_in(&head.headers), rest: Some((link, body)) };
     }
     let mut buffer = BytesMut::new();
     let mut tx = Some(tx);
@@ -414,14 +410,14 @@
             }
             let Ok(line) = serde_json::from_slice::<Line>(&line) else {
                 net.count(|c| &mut c.malformed_lines);
-                return Outcome::Dropped.into();
+                return Ending::Dropped.into();
             };
             // Only what a backend made for this very req may be served.
             if line.id.as_bytes() != order.id.as_bytes() {
                 net.count(|c| &mut c.wrong_id_lines);
-                return Outcome::Dropped.into();
+                return Ending::Dropped.into();
             }
-            let outcome = match &*line.state {
+            let ending = match &*line.state {
                 "started" => {
                     net.report(Seen::Started(req, fetch));
                     continue;
@@ -436,46 +432,46 @@
                         (Some(result), Some(tx)) => _ = tx.send(result),
                         _ => {
                             net.count(|c| &mut c.malformed_lines);
-                            return Outcome::Dropped.into();
+                            return Ending::Dropped.into();
                         }
                     }
-                    Outcome::Served
+                    Ending::Delivered
                 }
-                "failed" => Outcome::Error,
-                "returned" => Outcome::Shed,
+                "failed" => Ending::Error,
+                "returned" => Ending::Shed,
                 "lost" => {
                     net.count(|c| &mut c.lost_jobs);
-                    Outcome::Dropped
+                    Ending::Dropped
                 }
                 _ => continue, // a word of a later day
             };
-            let load = line.load.map(Load::from);
-            return Ended { outcome, load, rest: Some((link, body)) };
+            let load = line.load.map(Report::from);
+            return Ended { ending, load, rest: Some((link, body)) };
         }
         if buffer.len() > LONGEST_LINE {
             net.count(|c| &mut c.malformed_lines);
-            return Outcome::Dropped.into();
+            return Ending::Dropped.into();
         }
     }
     net.count(|c| &mut c.early_ends);
-    Outcome::Dropped.into()
+    Ending::Dropped.into()
 }
 
 /// An idle connection, or a new one. Its failure says what the fetch ends with.
-async fn connect(net: &Net, to: &str) -> Result<Link, Outcome> {
+async fn connect(net: &Net, to: &str) -> Result<Link, Ending> {
     if let Some(link) = net.backends.take_idle(net, to) {
         net.count(|c| &mut c.reused);
         return Ok(link);
     }
-    let address = net.backends.address(to).ok_or(Outcome::Unused)?;
+    let address = net.backends.address(to).ok_or(Ending::Unused)?;
     let Some(slot) = net.backends.slot(net) else {
         net.count(|c| &mut c.no_socket);
-        return Err(Outcome::Unused);
+        return Err(Ending::Unused);
     };
     net.count(|c| &mut c.dials);
     match timeout(dial_limit(net), Link::open(address, Some(slot))).await {
         Ok(Ok(link)) => Ok(link),
-        _ => Err(Outcome::DialFailed),
+        _ => Err(Ending::DialFailed),
     }
 }
 
@@ -528,15 +524,15 @@
     x1: Option<f64>,
 }
 
-impl From<LoadForm> for Load {
-    fn from(form: LoadForm) -> Load {
+impl From<LoadForm> for Report {
+    fn from(form: LoadForm) -> Report {
         let LoadForm { inflight: outstanding, queue: backlog, x0: free_slots, x1: free_memory } = form;
-        Load { free_slots, free_memory, outstanding, backlog }
+        Report { free_slots, free_memory, outstanding, backlog }
     }
 }
 
 /// A report in its text form: `TEXT inflight=7, queue=2`.
-fn load_of(text: &str) -> Load {
+fn load_of(text: &str) -> Report {
     let mut form = LoadForm::default();
     for (name, value) in text.split([' ', ',']).filter_map(|field| field.split_once('=')) {
         let value = value.parse().ok();
@@ -551,7 +547,7 @@
     form.into()
 }
 
-fn load_in(headers: &HeaderMap) -> Option<Load> {
+fn load_in(headers: &HeaderMap) -> Option<Report> {
     headers.get(&SRV_LOAD)?.to_str().ok().map(load_of)
 }
 
@@ -561,7 +557,7 @@
     net.report(Seen::Probed(&to, load.is_some(), load));
 }
 
-async fn ask_load(net: &Net, to: &str) -> Option<Load> {
+async fn ask_load(net: &Net, to: &str) -> Option<Report> {
     let mut link = connect(net, to).await.ok()?;
     let host = net.backends.address(to)?.to_string();
     let request = Request::get("/status/load").header(HOST, host).body(Full::default()).ok()?;
@@ -575,7 +571,7 @@
     if link.sender.ready().await.is_ok() {
         net.backends.put_back(net, to, link);
     }
-    let in_json = || serde_json::from_slice::<LoadForm>(&body).ok().map(Load::from);
+    let in_json = || serde_json::from_slice::<LoadForm>(&body).ok().map(Report::from);
     in_head.or_else(in_json).or_else(|| std::str::from_utf8(&body).ok().map(load_of))
 }
 
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -26,7 +26,7 @@
 
 use super::backends::{self, Fetch, Order};
 use super::{log, Net, Phase};
-use crate::facade::{Job, Micros, Outcome, Req, Seen, Step};
+use crate::facade::{Ending, Job, Micros, Req, Seen, Step};
 use crate::interface::Effect;
 use crate::wire;
 
@@ -316,14 +316,17 @@
     loop {
         match net.pick(req).await {
             Step::Fetch { fetch, backend, until } => {
-                debug_assert_eq!(fetch, handler.fetches.len());
+                net.must(fetch == handler.fetches.len(), "fetches are numbered in order");
                 handler.fetches.push(backends::start(net, &order, req, fetch, backend, until));
             }
             Step::Serve { fetch } => {
-                return match handler.fetches[fetch].result().await {
-                    Some(result) => Response::new(Full::new(result)),
-                    None => plain(StatusCode::BAD_GATEWAY, "the result was lost\n"),
+                let result = match handler.fetches.get_mut(fetch) {
+                    Some(fetch) => fetch.result().await,
+                    None => None,
                 };
+                net.must(result.is_some(), "a served fetch has its result");
+                let Some(result) = result else { return plain(StatusCode::BAD_GATEWAY, "failed\n") };
+                return Response::new(Full::new(result));
             }
             Step::Synthetic { retry_after } => {
                 let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
@@ -335,8 +338,8 @@
             }
             Step::Fail => return plain(StatusCode::BAD_GATEWAY, "failed\n"),
             Step::Drop { fetch } => {
-                handler.fetches[fetch].stop();
-                net.report(Seen::Ended(req, fetch, Outcome::Revoked, None));
+                handler.fetches.get(fetch).into_iter().for_each(Fetch::stop);
+                net.report(Seen::Ended(req, fetch, Ending::Revoked, None));
             }
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -76,7 +76,7 @@
     pub wrong_id_lines: u64,
     pub no_socket: u64,
     pub drained_before_send: u64,
-    pub size_mismatch: u64,
+    pub broken: u64,
     pub accept_errors: u64,
     pub director_calls: u64,
     pub director_failures: u64,
@@ -119,6 +119,12 @@
         *which(&mut self.counters.borrow_mut()) += 1;
     }
 
+    /// What must hold is asserted in debug builds and counted in release builds.
+    pub(crate) fn must(&self, holds: bool, what: &str) {
+        debug_assert!(holds, "{what}");
+        self.counters.borrow_mut().broken += u64::from(!holds);
+    }
+
     /// Descriptors for clients, and as many for backends.
     pub(crate) fn socket_share(&self) -> usize {
         (self.config.sockets - RESERVED_SOCKETS) / 2
@@ -198,7 +204,7 @@
 }
 
 fn summary(net: &Net) -> String {
-    format!("{:?} {:?}", net.facade.borrow().tally(), net.counters.borrow())
+    format!("{} {:?}", net.facade.borrow().tally(), net.counters.borrow())
 }
 
 async fn log_counters(net: Rc<Net>) {
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -12,8 +12,8 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const MS: Micros = 1_000;
-const OUTCOMES: [Outcome; 6] =
-    [Outcome::Served, Outcome::Error, Outcome::Shed, Outcome::DialFailed, Outcome::Dropped, Outcome::Unused];
+const ENDINGS: [Ending; 6] =
+    [Ending::Delivered, Ending::Error, Ending::Shed, Ending::DialFailed, Ending::Dropped, Ending::Unused];
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -32,8 +32,8 @@
         4 => (1..400u64).prop_map(Step::Wait),
         6 => (0..2u32, 1..5_000u64).prop_map(|(c, left)| Step::Take(c, left)),
         3 => any::<usize>().prop_map(Step::Start),
-        6 => (any::<usize>(), 0..OUTCOMES.len()).prop_map(|(n, o)| Step::End(n, o)),
-        1 => (0..OUTCOMES.len()).prop_map(Step::EndAll),
+        6 => (any::<usize>(), 0..ENDINGS.len()).prop_map(|(n, o)| Step::End(n, o)),
+        1 => (0..ENDINGS.len()).prop_map(Step::EndAll),
         1 => any::<usize>().prop_map(Step::Leave),
         1 => (0..4usize, any::<bool>()).prop_map(|(b, ready)| Step::List(b, ready)),
         1 => Just(Step::Failed),
@@ -68,7 +68,7 @@
 /// A fetch: out until it has ended.
 struct Out {
     until: Micros,
-    ended: Option<Outcome>,
+    ended: Option<Ending>,
 }
 
 /// A req: waiting until it is answered or its client is gone.
@@ -157,7 +157,7 @@
         let may_have_run = r
             .fetches
             .iter()
-            .any(|f| !matches!(f.ended, Some(Outcome::Shed | Outcome::DialFailed | Outcome::Unused)));
+            .any(|f| !matches!(f.ended, Some(Ending::Shed | Ending::DialFailed | Ending::Unused)));
         match step {
             Step::Fetch { fetch, backend, until } => {
                 assert_eq!(fetch, r.fetches.len(), "fetches are numbered in order");
@@ -171,7 +171,7 @@
                 return;
             }
             Step::Serve { fetch } => {
-                assert_eq!(r.fetches[fetch].ended, Some(Outcome::Served), "only a result is served");
+                assert_eq!(r.fetches[fetch].ended, Some(Ending::Delivered), "only a result is served");
             }
             Step::Synthetic { .. } => {
                 assert!(r.class != 0 || !may_have_run, "refused though it may have run")
@@ -189,17 +189,17 @@
         for fetch in drops {
             // What was decided on but never begun is not known here.
             if let Some(out) = r.fetches.get_mut(fetch) {
-                assert_eq!(out.ended.replace(Outcome::Revoked), None, "dropped after its end");
+                assert_eq!(out.ended.replace(Ending::Revoked), None, "dropped after its end");
             }
         }
         assert!(r.fetches.iter().all(|f| f.ended.is_some()), "a fetch was left out");
     }
 
-    fn end(&mut self, req: Req, fetch: usize, outcome: Outcome) {
-        self.reqs.get_mut(&req).expect("known").fetches[fetch].ended = Some(outcome);
-        self.facade.report(self.now, Seen::Ended(req, fetch, outcome, None));
+    fn end(&mut self, req: Req, fetch: usize, ending: Ending) {
+        self.reqs.get_mut(&req).expect("known").fetches[fetch].ended = Some(ending);
+        self.facade.report(self.now, Seen::Ended(req, fetch, ending, None));
         // A second word on the same fetch, as when it ends while it is dropped, changes nothing.
-        self.facade.report(self.now, Seen::Ended(req, fetch, Outcome::Dropped, None));
+        self.facade.report(self.now, Seen::Ended(req, fetch, Ending::Dropped, None));
     }
 
     /// Time passes: the timer comes due, and fetches run out.
@@ -213,7 +213,7 @@
             let first = open.chain(timer).min_by_key(|(at, what)| (*at, what.is_some()));
             let Some((at, what)) = first.filter(|(at, _)| *at <= until) else { break };
             self.now = self.now.max(at);
-            what.into_iter().for_each(|(req, fetch)| self.end(req, fetch, Outcome::Expired));
+            what.into_iter().for_each(|(req, fetch)| self.end(req, fetch, Ending::Expired));
             self.settle();
         }
         self.now = until;
@@ -250,13 +250,13 @@
                     self.facade.report(self.now, Seen::Progress(req, fetch));
                 }
             }
-            Step::End(pick, outcome) => {
-                open(self, pick).into_iter().for_each(|(req, n)| self.end(req, n, OUTCOMES[outcome]));
+            Step::End(pick, ending) => {
+                open(self, pick).into_iter().for_each(|(req, n)| self.end(req, n, ENDINGS[ending]));
             }
-            Step::EndAll(outcome) => {
+            Step::EndAll(ending) => {
                 // At one moment: no handler runs in between.
                 while let Some((req, n)) = open(self, 0) {
-                    self.end(req, n, OUTCOMES[outcome]);
+                    self.end(req, n, ENDINGS[ending]);
                 }
             }
             Step::Leave(pick) => {
@@ -301,9 +301,9 @@
 fn a_second_word_on_a_fetch_is_ignored_and_a_name_stays_a_name() {
     let mut world = World::new();
     let name: Rc<str> = "s-0".into();
-    world.facade.report(world.now, Seen::Probed(&name, true, Some(Load::default())));
+    world.facade.report(world.now, Seen::Probed(&name, true, Some(Report::default())));
     world.step(Step::Take(0, 5_000));
     world.step(Step::End(0, 0));
     assert_eq!(world.facade.tally().served, 1);
-    assert_eq!(world.facade.tally().ended[Outcome::Served as usize], 1);
+    assert_eq!(world.facade.tally().ended[Ending::Delivered as usize], 1);
 }
