Read each connection once more before it is closed at a stop

Seen: a program stopped on its core (SIGSTOP) while SIGTERM's linger ran out, and sent reqs meanwhile, closed idle connections unread when it went on: the reqs, already taken by the system, were lost. Lines at fault: converse in front.rs, which called hyper's graceful_shutdown at once; on an idle connection hyper then closes without another look.

Ruled out: the order of the select's branches (biased or not made no difference). The linger is 720 ms now, so that with the last look the stop begins as late as before.

The phase is one flag: lingering was told to nobody.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -25,7 +25,7 @@
 use tokio::sync::Notify;
 
 use super::backends::{self, Fetch, Order};
-use super::{log, Net, Phase};
+use super::{log, Net};
 use crate::facade::{Ending, Job, Micros, Req, Seen, Step};
 use crate::interface::Effect;
 use crate::wire;
@@ -39,6 +39,8 @@
 /// How long to wait where accepting fails for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a connection that is to close is read once more.
+const LAST_LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that is to close may stand without a req.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 
@@ -89,8 +91,8 @@
 /// Accepts and serves until the program is to close, and then until every connection has ended.
 pub(crate) async fn run(net: &Rc<Net>, listener: TcpListener) {
     let clients = Rc::new(Clients::default());
-    let mut phase = net.phase.subscribe();
-    let mut closing = pin!(phase.wait_for(|p| *p == Phase::Closing));
+    let mut told = net.closing.subscribe();
+    let mut closing = pin!(told.wait_for(|closing| *closing));
     loop {
         // A full house accepts nobody until an idle connection has made room.
         while clients.open.borrow().len() >= net.socket_share() {
@@ -157,11 +159,18 @@
     let connection =
         http1::Builder::new().auto_date_header(false).serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let mut phase = net.phase.subscribe();
+    let mut closing = net.closing.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
         () = client.close.notified() => {}
-        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    // Guards against closing on a req that has arrived but was not read yet: hyper closes a
+    // connection without another look, and one accepted last has not been looked at once.
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = tokio::time::sleep(LAST_LOOK) => {}
     }
     // Idle: it closes now. Busy: it closes after the answer, which says so.
     connection.as_mut().graceful_shutdown();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,7 +22,7 @@
 
 /// How long after SIGTERM new reqs are still taken as usual: the platform's front sends some for
 /// 0.4 s yet, and clients use their connections until these are closed.
-const LINGER: Duration = Duration::from_millis(800);
+const LINGER: Duration = Duration::from_millis(720);
 /// Between two looks at whether there is something new to log.
 const LOG_EVERY: Duration = Duration::from_secs(10);
 /// Descriptors for what is not a client or a backend: standard streams, the runtime's own, the
@@ -84,16 +84,6 @@
     pub evicted_clients: u64,
 }
 
-/// Where the program is between its start and its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
-pub(crate) enum Phase {
-    Serving,
-    /// After SIGTERM: as before, for a while.
-    Lingering,
-    /// What is open is finished, and nothing new is taken.
-    Closing,
-}
-
 /// What all parts share.
 pub(crate) struct Net {
     pub config: Config,
@@ -101,7 +91,8 @@
     pub facade: RefCell<Facade>,
     pub backends: backends::Backends,
     pub counters: RefCell<Counters>,
-    pub phase: watch::Sender<Phase>,
+    /// Nothing new is taken, and what is open is finished.
+    pub closing: watch::Sender<bool>,
     pub subscribe: Notify,
     pub ready: Cell<bool>,
 }
@@ -140,7 +131,7 @@
         facade: RefCell::new(facade),
         backends: backends::Backends::default(),
         counters: RefCell::default(),
-        phase: watch::Sender::new(Phase::Serving),
+        closing: watch::Sender::new(false),
         subscribe: Notify::new(),
         ready: Cell::new(false),
         config,
@@ -158,7 +149,7 @@
     tokio::task::spawn_local(director::run(net.clone()));
     tokio::task::spawn_local(backends::sweep(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
-    tokio::task::spawn_local(run_phases(net.clone()));
+    tokio::task::spawn_local(stop_when_told(net.clone()));
     front::run(&net, listener).await;
     log!("stopped: {}", summary(&net));
     Ok(())
@@ -189,7 +180,7 @@
     }
 }
 
-async fn run_phases(net: Rc<Net>) {
+async fn stop_when_told(net: Rc<Net>) {
     use tokio::signal::unix::{signal, SignalKind};
     let (term, int) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     let (Ok(mut term), Ok(mut int)) = (term, int) else {
@@ -197,10 +188,9 @@
     };
     tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
     log!("told to stop: serving on for {} ms", LINGER.as_millis());
-    net.phase.send_replace(Phase::Lingering);
     tokio::time::sleep(LINGER).await;
     log!("closing: {} reqs are owed an answer", net.facade.borrow().owed());
-    net.phase.send_replace(Phase::Closing);
+    net.closing.send_replace(true);
 }
 
 fn summary(net: &Net) -> String {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -307,6 +307,32 @@
     drop((unused, half));
 }
 
+#[test]
+fn what_has_arrived_when_connections_are_closed_is_answered() {
+    let backend = good();
+    let mut program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut clients: Vec<_> = (0..20).map(|_| program.connect()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(ask_on(client, &req("transfer", &format!("first-{n}"))).status(), 200);
+    }
+    program.signal("-TERM");
+    until("the signal", || program.log().contains("told to stop"));
+    // It gets no time on its core, while the system still accepts and takes bytes for it. When it
+    // goes on, it is to close already.
+    program.signal("-STOP");
+    clients.extend((0..20).map(|_| program.connect()));
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write_all(req("transfer", &format!("last-{n}")).as_bytes()).expect("written");
+    }
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    program.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(Message::read(&mut BufReader::new(client)).expect("an answer").status(), 200);
+    }
+    drop(clients);
+    assert_eq!(program.wait().code(), Some(0));
+}
+
 #[test]
 fn a_value_that_cannot_be_used_is_named_in_one_line() {
     let path = config("127.0.0.1:9".parse().expect("an address"), "null", 1024);
