Log failing accepts sparingly, and test a director that does not hold

A failing accept is tried every 20 ms; each time was a line in the log. Now the 1st, 2nd, 4th, 8th ... time is.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -38,7 +38,6 @@
 const BACKLOG: u32 = 1_024;
 /// How long to wait where accepting fails for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// How long a connection that is to close is read once more.
 const LAST_LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that is to close may stand without a req.
@@ -115,7 +114,10 @@
             Err(e) => {
                 // Mostly for want of descriptors: trying again at once would spin.
                 net.count(|c| &mut c.accept_errors);
-                log!("accept: {e}");
+                let errors = net.counters.borrow().accept_errors;
+                if errors.is_power_of_two() {
+                    log!("accept failed for the {errors}. time: {e}");
+                }
                 net.backends.close_oldest();
                 clients.close_oldest();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -233,6 +233,20 @@
     until("a served req", || program.ask(&req("transfer", "id-1")).status() == 200);
 }
 
+#[test]
+fn a_director_that_does_not_hold_is_not_called_without_pause() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let program = Program::start(&director);
+    let start = std::time::Instant::now();
+    let text =
+        "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n{\"generation\":1,\"reset\":false,\"instances\":[]}";
+    director.spoilt.lock().unwrap().extend([text; 10]);
+    until("ten calls", || director.spoilt.lock().unwrap().is_empty());
+    assert!(start.elapsed().as_millis() >= 900, "ten calls in {:?}", start.elapsed());
+    assert!(!program.log().contains("malformed"), "{}", program.log());
+}
+
 #[test]
 fn a_client_that_goes_away_takes_its_fetch_along() {
     let backend = Peer::new(|message, stream| {
