--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -247,6 +247,18 @@
     assert!(!program.log().contains("malformed"), "{}", program.log());
 }
 
+#[test]
+fn a_director_that_falls_silent_is_given_up_and_asked_again() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let edits = [(r#""ask-every-ms":10000"#, r#""ask-every-ms":2000"#)]; // a hold of 1 s
+    let program = Program::start_with(&director, 1024, &edits);
+    director.spoilt.lock().unwrap().push(""); // the call is read, and never answered
+    until("the call's end", || program.log().contains("no answer in time"));
+    director.set("s-1", "draining");
+    until("the news after", || program.log().contains("0 backends ready"));
+}
+
 #[test]
 fn a_client_that_goes_away_takes_its_fetch_along() {
     let backend = Peer::new(|message, stream| {
