Keep no connection to an address that a backend has left

Found in review: a connection busy while the director told a new address was put back into the backend's pool when its job ended, and a dial begun before went to the old address. Lines at fault: put_back and run in backends.rs, which asked only whether the backend was ready. A connection now knows its address. The new test fails without the check in put_back.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -118,6 +118,7 @@
 
 /// A connection that carries one request at a time. Dropping it closes it.
 pub(crate) struct Link {
+    address: SocketAddr,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     socket: Rc<Socket>,
     task: JoinHandle<()>,
@@ -132,7 +133,7 @@
         let io = TokioIo::new(Io(socket.clone()));
         let (sender, connection) = handshake(io).await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move { _ = connection.await });
-        Ok(Link { sender, socket, task })
+        Ok(Link { address, sender, socket, task })
     }
 
     /// Opens a connection that no budget counts.
@@ -211,7 +212,9 @@
     }
 
     fn put_back(&self, net: &Net, name: &str, link: Link) {
-        if let Some(backend) = self.all.borrow_mut().get_mut(name).filter(|b| b.ready) {
+        if let Some(backend) =
+            self.all.borrow_mut().get_mut(name).filter(|b| b.ready && b.address == link.address)
+        {
             backend.idle.push((net.clock.now(), link));
         }
     }
@@ -378,8 +381,9 @@
         Ok(link) => link,
         Err(ending) => return ending.into(),
     };
-    // The dial may have outlasted the time in which sends to a draining backend must end.
-    if net.backends.address(to).is_none() {
+    // The dial may have outlasted the time in which sends to a draining backend must end, and the
+    // backend may have moved meanwhile.
+    if net.backends.address(to) != Some(link.address) {
         net.count(|c| &mut c.drained_before_send);
         return Ending::Unused.into();
     }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -167,6 +167,14 @@
         Director { peer, told, spoilt }
     }
 
+    /// The backend is at another address from now on.
+    pub fn move_to(&self, name: &str, at: SocketAddr) {
+        let mut told = self.told.0.lock().unwrap();
+        told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.1 = at);
+        told.0 += 1;
+        self.told.1.notify_all();
+    }
+
     pub fn set(&self, name: &str, lifecycle: &'static str) {
         let mut told = self.told.0.lock().unwrap();
         told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.2 = lifecycle);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -214,6 +214,30 @@
     assert!(wait > 0.0 && wait <= 2.0);
 }
 
+#[test]
+fn a_backend_that_moves_is_found_at_its_new_address_only() {
+    let (open, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let before = Peer::new(move |message, stream| {
+        _ = gate.lock().unwrap().recv();
+        done(message, stream, "before")
+    });
+    let after = good();
+    let director = Director::new(&[("s-1", before.address)]);
+    let program = Program::start(&director);
+    let mut client = program.connect();
+    client.write_all(req("transfer", "id-1").as_bytes()).expect("written");
+    until("the fetch", || before.count() == 1);
+    director.move_to("s-1", after.address);
+    until("the news", || program.log().matches("list ").count() >= 2);
+    open.send(()).expect("released"); // its connection comes free only now, and is not kept
+    assert_eq!(Message::read(&mut BufReader::new(client)).expect("an answer").body, b"before");
+    for n in 2..6 {
+        assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).body, b"made");
+    }
+    assert_eq!(before.count(), 1);
+}
+
 #[test]
 fn a_failing_director_is_asked_again_and_what_it_garbles_is_not_believed() {
     let backend = good();
