--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,11 @@
 /// The fewest descriptors with which anything can be served.
 const LEAST_SOCKETS: usize = 64;
 
+/// The memory that it takes to be allowed where the file doesn't say.
+const LEAST_MEMORY_MB: usize = 32;
+/// The variable with the director's address.
+pub(crate) const DISCOVERY: &str = "ROUTER_DISCOVERY";
+
 /// What the program is told.
 #[derive(Debug)]
 pub struct Config {
@@ -32,6 +37,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     /// The list as last held, in the director's form.
     pub known: Option<Answer>,
     /// The settings of the decisions.
@@ -53,9 +60,10 @@
     settings: Option<&'a RawValue>,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -74,7 +82,8 @@
             value.parse().map_err(|_| format!("{name} is not an address and port: '{value}'"))
         };
         let seed = file.seed.ok_or_else(|| wrong(&"no 'seed'"))?;
-        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(1_024);
+        let limits = file.limits.unwrap_or_default();
+        let sockets = limits.sockets.unwrap_or(1_024);
         if sockets < LEAST_SOCKETS {
             return Err(wrong(&format_args!("limits.sockets {sockets} is under {LEAST_SOCKETS}")));
         }
@@ -84,9 +93,10 @@
         Ok(Config {
             name: var("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".into()),
             listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
-            director: address("ROUTER_DISCOVERY", "discovery", &file.discovery)?,
+            director: address(DISCOVERY, "discovery", &file.discovery)?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong(&"'seed' is not a hexadecimal number"))?,
             sockets,
+            memory: limits.memory_mb.unwrap_or(LEAST_MEMORY_MB) << 20,
             known: known.transpose().map_err(|e| wrong(&format_args!("known: {e}")))?,
             settings,
             names: Rc::new(names),
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -94,17 +94,9 @@
 
 impl AsyncWrite for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write(buf) {
-                Ok(n) => {
-                    self.0.written.set(self.0.written.get() + n as u64);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let n = ready!(super::poll_write(&self.0.stream, cx, buf))?;
+        self.0.written.set(self.0.written.get() + n as u64);
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -112,7 +104,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(super::end_sending(&self.0.stream))
     }
 }
 
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -104,20 +104,39 @@
     }
 }
 
-/// Watches the list whenever the facade asks for it, until a call fails.
+/// Watches the list, always at the director's present address.
 pub(crate) async fn run(net: Rc<Net>) {
+    let mut address = net.director.subscribe();
     let mut generation = net.config.known.as_ref().map(|known| known.generation);
+    let mut moved = false;
+    loop {
+        let at = *address.borrow_and_update();
+        // Wherever the watch stands when the director moves (in a call, or waiting for the next),
+        // it ends: the old one may close any moment, and what it tells is old.
+        tokio::select! {
+            _ = address.changed() => {}
+            () = watch(&net, at, &mut generation, moved) => {}
+        }
+        // The new one may number its lists differently: it is asked for the whole, at once.
+        (generation, moved) = (None, true);
+    }
+}
+
+/// Watches the list whenever the facade asks for it, and now where that is wanted.
+async fn watch(net: &Net, at: SocketAddr, generation: &mut Option<u64>, mut now: bool) {
     let hold = Duration::from_micros(net.config.settings.ask_every / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD);
     let mut link = None;
     loop {
-        net.subscribe.notified().await;
+        if !std::mem::take(&mut now) {
+            net.subscribe.notified().await;
+        }
         let failure = loop {
             net.count(|c| &mut c.director_calls);
             let called = net.clock.now();
-            match in_time(hold + BEYOND_HOLD, call(&net, &mut link, generation, hold)).await {
+            match in_time(hold + BEYOND_HOLD, call(net, at, &mut link, *generation, hold)).await {
                 Ok(answer) => {
-                    generation = Some(answer.generation);
-                    apply(&net, &answer, if answer.reset { ListKind::All } else { ListKind::Changes });
+                    *generation = Some(answer.generation);
+                    apply(net, &answer, if answer.reset { ListKind::All } else { ListKind::Changes });
                     // Guards against a director that does not hold: calls would chase each other.
                     if answer.instances.is_empty() && net.clock.now() < called + PAUSE.as_micros() as u64 {
                         tokio::time::sleep(PAUSE).await;
@@ -140,11 +159,11 @@
 
 async fn call(
     net: &Net,
+    address: SocketAddr,
     link: &mut Option<Link>,
     from: Option<u64>,
     hold: Duration,
 ) -> Result<Answer, String> {
-    let address = net.config.director;
     if link.as_ref().is_none_or(Link::is_dead) {
         let dial = async { Link::dial(address).await.map_err(|e| format!("cannot connect: {e}")) };
         *link = Some(in_time(DIAL, dial).await?);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -15,16 +15,18 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashSet;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 use super::backends::{self, Fetch, Order};
+use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
 use super::{log, Net};
 use crate::facade::{Ending, Job, Micros, Req, Seen, Step};
 use crate::interface::Effect;
@@ -42,6 +44,17 @@
 const LAST_LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that is to close may stand without a req.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
+/// How long a body may take to arrive: its client is then told so, before the whole is overdue.
+const BODY_WAIT: Duration = ARRIVAL.saturating_sub(Duration::from_millis(500));
+/// Between two looks at what is overdue.
+const SWEEP: Duration = Duration::from_millis(250);
+/// The most bytes, and for how long, that are still read from a client after an answer that closes.
+const LINGER_BYTES: usize = 256 << 10;
+const LINGER: Duration = Duration::from_millis(200);
+/// The answer to what cannot be read.
+const UNREADABLE: &[u8] = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Bodies may take this part of the memory.
+const BODIES_PART: usize = 8;
 
 static REQ_ID: HeaderName = HeaderName::from_static("req-id");
 static REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -60,11 +73,22 @@
     bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
 }
 
-/// A client's connection: idle since when, or busy with a req.
+/// A client's connection.
 struct Client {
+    /// Since when no whole req is under way on it.
     idle_since: Cell<Option<Micros>>,
+    /// It has brought a whole req.
+    known: Cell<bool>,
     told_to_close: Cell<bool>,
     close: Notify,
+    intake: Rc<Intake>,
+}
+
+impl Client {
+    fn close(&self) {
+        self.told_to_close.set(true);
+        self.close.notify_one();
+    }
 }
 
 /// The clients' connections.
@@ -76,20 +100,34 @@
 
 impl Clients {
     /// Asks the connection that has been idle for longest to close; tells whether there was one.
+    /// Guards against usual clients that lose theirs to hundreds that say nothing, or only half of
+    /// something: those that never brought a req go first.
     fn close_oldest(&self) -> bool {
         let open = self.open.borrow();
         let staying = open.iter().filter(|c| !c.told_to_close.get());
-        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| (since, c)));
-        let Some((_, oldest)) = idle.min_by_key(|(since, _)| *since) else { return false };
-        oldest.told_to_close.set(true);
-        oldest.close.notify_one();
-        true
+        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| ((c.known.get(), since), c)));
+        let oldest = idle.min_by_key(|(key, _)| *key);
+        oldest.map(|(_, client)| client.close()).is_some()
+    }
+}
+
+/// Closes connections whose req began too long ago and is not there yet; one that never said
+/// anything is such a one, one that is idle between reqs is not.
+async fn sweep(net: Rc<Net>, clients: Rc<Clients>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = tokio::time::Instant::now();
+        for client in clients.open.borrow().iter().filter(|c| c.intake.overdue(now)) {
+            net.count(|c| &mut c.overdue_reqs);
+            client.close();
+        }
     }
 }
 
 /// Accepts and serves until the program is to close, and then until every connection has ended.
 pub(crate) async fn run(net: &Rc<Net>, listener: TcpListener) {
     let clients = Rc::new(Clients::default());
+    tokio::task::spawn_local(sweep(net.clone(), clients.clone()));
     let mut told = net.closing.subscribe();
     let mut closing = pin!(told.wait_for(|closing| *closing));
     loop {
@@ -138,34 +176,53 @@
     _ = stream.set_nodelay(true);
     let client = Rc::new(Client {
         idle_since: Cell::new(Some(net.clock.now())),
+        known: Cell::new(false),
         told_to_close: Cell::new(false),
         close: Notify::new(),
+        intake: Rc::new(Intake::new()),
     });
     clients.open.borrow_mut().push(client.clone());
     let (net, clients) = (net.clone(), clients.clone());
     tokio::task::spawn_local(async move {
-        converse(&net, &client, stream).await;
+        let stream = Rc::new(stream);
+        converse(&net, &client, stream.clone()).await;
+        _ = tokio::time::timeout(LINGER, part(&net, &client, &stream)).await;
+        drop(stream);
         clients.open.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
         clients.changed.notify_one();
     });
 }
 
 /// One connection from its first req to its last.
-async fn converse(net: &Rc<Net>, client: &Rc<Client>, stream: TcpStream) {
+async fn converse(net: &Rc<Net>, client: &Rc<Client>, stream: Rc<TcpStream>) {
     let service = service_fn(|request| async {
-        client.idle_since.set(None);
-        let response = respond(net, request).await;
+        let mut response = respond(net, client, request).await;
+        if client.intake.last.get() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         client.idle_since.set(Some(net.clock.now()));
+        client.intake.answered();
         Ok::<_, Infallible>(response)
     });
-    let connection =
-        http1::Builder::new().auto_date_header(false).serve_connection(TokioIo::new(stream), service);
+    let reader = TokioIo::new(Reader::new(stream, client.intake.clone()));
+    let connection = http1::Builder::new()
+        .auto_date_header(false)
+        .max_buf_size(LONGEST_HEAD)
+        .serve_connection(reader, service);
     let mut connection = pin!(connection);
     let mut closing = net.closing.subscribe();
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = client.close.notified() => {}
-        _ = closing.wait_for(|closing| *closing) => {}
+    loop {
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|closing| *closing) => break,
+            () = client.close.notified() => {
+                if client.idle_since.get().is_some() {
+                    return;
+                }
+                client.told_to_close.set(false); // a whole req has come meanwhile
+            }
+        }
     }
     // Guards against closing on a req that has arrived but was not read yet: hyper closes a
     // connection without another look, and one accepted last has not been looked at once.
@@ -176,7 +233,7 @@
     }
     // Idle: it closes now. Busy: it closes after the answer, which says so.
     connection.as_mut().graceful_shutdown();
-    // Guards against a client that has begun a head and never ends it: hyper would wait for it.
+    // Guards against a client that has begun a req and never ends it: hyper would wait for it.
     while tokio::time::timeout(CLOSE_WAIT, connection.as_mut()).await.is_err() {
         if client.idle_since.get().is_some() {
             return;
@@ -184,6 +241,29 @@
     }
 }
 
+/// What is left to do on a connection that hyper is done with: the answer to what cannot be read, of
+/// which hyper knows nothing, and reading on for a moment after an answer that closes. The latter
+/// guards against a reset, on which a client that still sends may throw the answer away.
+async fn part(net: &Net, client: &Client, stream: &TcpStream) {
+    if client.intake.unreadable.get() {
+        net.count(|c| &mut c.bad_reqs);
+        _ = stream.writable().await;
+        _ = stream.try_write(UNREADABLE);
+    } else if !client.intake.last.get() {
+        return;
+    }
+    _ = super::end_sending(stream);
+    let mut buffer = vec![0; 16 << 10];
+    let mut left = LINGER_BYTES;
+    while stream.readable().await.is_ok() {
+        match stream.try_read(&mut buffer) {
+            Ok(n) if (1..left).contains(&n) => left -= n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
+        }
+    }
+}
+
 // ---- Requests ----
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
@@ -193,7 +273,16 @@
     response
 }
 
-async fn respond(net: &Rc<Net>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+fn synthetic(retry_after: Option<Micros>) -> Response<Full<Bytes>> {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
+    let value = retry_after.map(|t| format!("{:.3}", t as f64 / 1e6));
+    if let Some(value) = value.and_then(|v| HeaderValue::try_from(v).ok()) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+async fn respond(net: &Rc<Net>, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = net.clock.now();
     let (head, body) = request.into_parts();
     if head.uri.path() == "/ready" {
@@ -205,14 +294,58 @@
             _ => not_allowed("GET, HEAD"),
         };
     }
-    let (job, order) = match read(net, arrived, head, body).await {
+    let (job, order, held) = match read(net, client, arrived, head, body).await {
         Ok(read) => read,
         Err(answer) => {
             net.count(|c| &mut c.bad_reqs);
             return answer;
         }
     };
-    handle(net, &job, Rc::new(order)).await
+    client.intake.arrived();
+    client.known.set(true);
+    client.idle_since.set(None);
+    handle(net, &job, Rc::new(order), held).await
+}
+
+/// The ids of the open reqs, and the bytes of their bodies and of those under way.
+#[derive(Default)]
+pub(crate) struct Open {
+    ids: RefCell<FxHashSet<HeaderValue>>,
+    bodies: Cell<usize>,
+}
+
+/// What one req holds of these.
+struct Held {
+    net: Rc<Net>,
+    id: Option<HeaderValue>,
+    body: usize,
+}
+
+impl Held {
+    /// Room for a body. Guards against many large ones at once, which would end the program.
+    fn room(net: &Rc<Net>, body: usize) -> Option<Held> {
+        let bodies = net.open.bodies.get() + body;
+        if bodies > net.config.memory / BODIES_PART {
+            return None;
+        }
+        net.open.bodies.set(bodies);
+        Some(Held { net: net.clone(), id: None, body })
+    }
+
+    /// The id, unless another open req has it: a backend's answer could not be told apart.
+    fn claim(&mut self, id: &HeaderValue) -> bool {
+        let new = self.net.open.ids.borrow_mut().insert(id.clone());
+        self.id = new.then(|| id.clone());
+        new
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let open = &self.net.open;
+        open.bodies.set(open.bodies.get() - self.body);
+        self.id.take().into_iter().for_each(|id| _ = open.ids.borrow_mut().remove(&id));
+    }
 }
 
 fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
@@ -224,13 +357,19 @@
 /// Takes out of a request what the decisions need and keeps the rest as it came. What no backend
 /// should see is answered here.
 async fn read(
-    net: &Net,
+    net: &Rc<Net>,
+    client: &Client,
     arrived: Micros,
     head: Parts,
     body: Incoming,
-) -> Result<(Job, Order), Response<Full<Bytes>>> {
+) -> Result<(Job, Order, Held), Response<Full<Bytes>>> {
     let bad = |text| plain(StatusCode::BAD_REQUEST, text);
-    let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
+    // What is left of the body is not read: nothing can follow it.
+    let last = |status, text| {
+        client.intake.last.set(true);
+        plain(status, text)
+    };
+    let too_large = || last(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
     let Some(target) = head.uri.path_and_query().cloned() else { return Err(bad("no path\n")) };
     let names = &net.config.names;
     let mut parts = target.path().split('/').skip(1);
@@ -259,8 +398,14 @@
         return Err(bad("no Idempotency-Key\n"));
     }
     let text = |name: &HeaderName| fields.get(name).and_then(|v| v.to_str().ok());
-    let wait = text(&REQ_DEADLINE).and_then(|t| t.parse::<u64>().ok()).filter(|ms| *ms > 0);
-    let wait = wait.map_or(c.deadline, |ms| ms.saturating_mul(1_000).min(c.deadline));
+    let wait = match text(&REQ_DEADLINE) {
+        // A number too large for any clock is a number; the class's time is the longest anyway.
+        Some(t) if !t.is_empty() && t.bytes().all(|b| b.is_ascii_digit()) => {
+            t.parse::<u64>().map_or(c.deadline, |ms| ms.saturating_mul(1_000).min(c.deadline))
+        }
+        None if !fields.contains_key(&REQ_DEADLINE) => c.deadline,
+        _ => return Err(bad("Req-Deadline-Ms is not a whole number\n")),
+    };
     let deadline = arrived + wait;
     let tenant = text(&REQ_OWNER).and_then(|t| names.tenants.iter().position(|n| n == t));
     let extra = |name: &str| {
@@ -283,15 +428,23 @@
         hint: None,
         remaining: 0,
     };
-    if body.size_hint().lower() > LARGEST_BODY as u64 {
+    let size = body.size_hint();
+    if size.lower() > LARGEST_BODY as u64 {
         return Err(too_large());
     }
+    let Some(mut held) = Held::room(net, size.exact().map_or(LARGEST_BODY, |n| n as usize)) else {
+        net.count(|c| &mut c.no_room);
+        let s = &net.config.settings;
+        client.intake.last.set(true);
+        return Err(synthetic(s.retry_after.then_some(s.max_retry_after / 2)));
+    };
     let body = Limited::new(body, LARGEST_BODY).collect();
-    let body = match tokio::time::timeout_at(net.clock.instant(deadline), body).await {
-        Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body never came\n")),
+    let by = net.clock.instant(deadline).min(tokio::time::Instant::now() + BODY_WAIT);
+    let body = match tokio::time::timeout_at(by, body).await {
+        Err(_) => return Err(last(StatusCode::REQUEST_TIMEOUT, "the body never came\n")),
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_large()),
-        Ok(Err(_)) => return Err(bad("broken body\n")),
+        Ok(Err(_)) => return Err(last(StatusCode::BAD_REQUEST, "broken body\n")),
     };
     job.remaining = deadline.saturating_sub(net.clock.now());
     let mut headers = HeaderMap::with_capacity(8);
@@ -303,7 +456,10 @@
     if !headers.contains_key(HOST) {
         return Err(bad("no Host\n"));
     }
-    Ok((job, Order { method: head.method, target, headers, id, body, deadline }))
+    if !held.claim(&id) {
+        return Err(plain(StatusCode::CONFLICT, "another open req has this Req-Id\n"));
+    }
+    Ok((job, Order { method: head.method, target, headers, id, body, deadline }, held))
 }
 
 /// A req from its arrival to its answer. Where its client goes away first, hyper drops it, and
@@ -312,6 +468,7 @@
     net: &'a Rc<Net>,
     req: Req,
     fetches: Vec<Fetch>,
+    _held: Held,
 }
 
 impl Drop for Handler<'_> {
@@ -321,9 +478,9 @@
     }
 }
 
-async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>) -> Response<Full<Bytes>> {
+async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>, held: Held) -> Response<Full<Bytes>> {
     let req = net.facade.borrow_mut().take(net.clock.now(), job);
-    let mut handler = Handler { net, req, fetches: Vec::new() };
+    let mut handler = Handler { net, req, fetches: Vec::new(), _held: held };
     loop {
         match net.pick(req).await {
             Step::Fetch { fetch, backend, until } => {
@@ -339,14 +496,7 @@
                 let Some(result) = result else { return plain(StatusCode::BAD_GATEWAY, "failed\n") };
                 return Response::new(Full::new(result));
             }
-            Step::Synthetic { retry_after } => {
-                let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
-                let value = retry_after.map(|t| format!("{:.3}", t as f64 / 1e6));
-                if let Some(value) = value.and_then(|v| HeaderValue::try_from(v).ok()) {
-                    answer.headers_mut().insert(RETRY_AFTER, value);
-                }
-                return answer;
-            }
+            Step::Synthetic { retry_after } => return synthetic(retry_after),
             Step::Fail => return plain(StatusCode::BAD_GATEWAY, "failed\n"),
             Step::Drop { fetch } => {
                 handler.fetches.get(fetch).into_iter().for_each(Fetch::stop);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,18 +6,23 @@
 pub mod backends;
 pub mod director;
 pub mod front;
+mod reader;
 
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use tokio::net::TcpStream;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::time::Sleep;
 
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::facade::{Facade, Micros, Seen, Step};
 
 /// How long after SIGTERM new reqs are still taken as usual: the platform's front sends some for
@@ -82,6 +87,24 @@
     pub director_failures: u64,
     pub malformed_lists: u64,
     pub evicted_clients: u64,
+    pub overdue_reqs: u64,
+    pub no_room: u64,
+}
+
+/// Writes to a socket that is shared.
+pub(crate) fn poll_write(stream: &TcpStream, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match stream.try_write(buf) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
+/// Tells the other side that nothing more will come.
+pub(crate) fn end_sending(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
 }
 
 /// What all parts share.
@@ -93,8 +116,11 @@
     pub counters: RefCell<Counters>,
     /// Nothing new is taken, and what is open is finished.
     pub closing: watch::Sender<bool>,
+    /// Where the director is: a reload may move it.
+    pub director: watch::Sender<SocketAddr>,
     pub subscribe: Notify,
     pub ready: Cell<bool>,
+    pub open: front::Open,
 }
 
 impl Net {
@@ -123,8 +149,11 @@
 }
 
 /// Serves until SIGTERM or SIGINT, and then until all that was taken is answered.
-pub async fn serve(config: Config) -> std::io::Result<()> {
-    let facade = Facade::new(config.settings.clone(), config.seed).map_err(std::io::Error::other)?;
+pub async fn serve(config: Config) -> io::Result<()> {
+    // Before anything can be seen of the program: a signal without a handler would end it.
+    let (term, int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let hangup = signal(SignalKind::hangup())?;
+    let facade = Facade::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
     let listener = front::listen(config.listen)?;
     let net = Rc::new(Net {
         clock: Clock::new(),
@@ -132,8 +161,10 @@
         backends: backends::Backends::default(),
         counters: RefCell::default(),
         closing: watch::Sender::new(false),
+        director: watch::Sender::new(config.director),
         subscribe: Notify::new(),
         ready: Cell::new(false),
+        open: front::Open::default(),
         config,
     });
     log!(
@@ -149,7 +180,8 @@
     tokio::task::spawn_local(director::run(net.clone()));
     tokio::task::spawn_local(backends::sweep(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
-    tokio::task::spawn_local(stop_when_told(net.clone()));
+    tokio::task::spawn_local(reload_when_told(net.clone(), hangup));
+    tokio::task::spawn_local(stop_when_told(net.clone(), term, int));
     front::run(&net, listener).await;
     log!("stopped: {}", summary(&net));
     Ok(())
@@ -180,12 +212,28 @@
     }
 }
 
-async fn stop_when_told(net: Rc<Net>) {
-    use tokio::signal::unix::{signal, SignalKind};
-    let (term, int) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut term), Ok(mut int)) = (term, int) else {
-        return log!("signals cannot be caught: the program will not end in order");
-    };
+/// Reads the configuration again at each SIGHUP and takes over the director's address, which is all
+/// that can change while reqs are open. The environment's address is that of the start: the file
+/// counts now.
+async fn reload_when_told(net: Rc<Net>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        let var = |name: &str| std::env::var(name).ok().filter(|_| name != config::DISCOVERY);
+        let new = match Config::read(var) {
+            Ok(new) => new,
+            Err(why) => {
+                log!("reload: {why}; going on as before");
+                continue;
+            }
+        };
+        let old = &net.config;
+        let kept = (new.listen, new.sockets, &new.settings) == (old.listen, old.sockets, &old.settings);
+        let rest = if kept { "" } else { "; what else has changed needs a restart" };
+        log!("reload: director {}{rest}", new.director);
+        net.director.send_if_modified(|at| std::mem::replace(at, new.director) != new.director);
+    }
+}
+
+async fn stop_when_told(net: Rc<Net>, mut term: Signal, mut int: Signal) {
     tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
     log!("told to stop: serving on for {} ms", LINGER.as_millis());
     tokio::time::sleep(LINGER).await;
--- /dev/null
+++ b/src/net/reader.rs
@@ -0,0 +1,279 @@
+//! The bytes that a client sends, below hyper.
+//!
+//! It owns where each request begins and ends: one is passed on at a time, its head whole, the next
+//! once the one before is answered. It must never answer, change a byte, or hold more than a head.
+//!
+//! Guards against what hyper does not show: it drops `Content-Length` beside `Transfer-Encoding`
+//! (before the service sees the head, in either order) and reads on behind it, it waits for the end
+//! of a head for ever, and with the next request in its buffer it no longer sees that a client left.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use httparse::{Header, Request, Status, EMPTY_HEADER};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The longest head, and the most that is held of a connection.
+pub(super) const LONGEST_HEAD: usize = 8 << 10;
+/// The most header fields; hyper takes as many.
+const MOST_FIELDS: usize = 100;
+/// How much is read at once.
+const CHUNK: usize = 2 << 10;
+/// How long a request may take to arrive from when it began; the first begins with the connection.
+pub(super) const ARRIVAL: Duration = Duration::from_secs(2);
+
+/// What a connection's reader and the service above hyper tell each other.
+pub(super) struct Intake {
+    /// When the request began that has not arrived in full.
+    began: Cell<Option<Instant>>,
+    passed: Cell<u64>,
+    answered: Cell<u64>,
+    /// What has come cannot be read, and nothing was being answered.
+    pub unreadable: Cell<bool>,
+    /// Nothing can follow the request that is being passed on.
+    pub last: Cell<bool>,
+    waiting: RefCell<Option<Waker>>,
+}
+
+impl Intake {
+    pub(super) fn new() -> Self {
+        Intake {
+            began: Cell::new(Some(Instant::now())),
+            passed: Cell::new(0),
+            answered: Cell::new(0),
+            unreadable: Cell::new(false),
+            last: Cell::new(false),
+            waiting: RefCell::new(None),
+        }
+    }
+
+    /// The service has answered: the next request may come.
+    pub(super) fn answered(&self) {
+        self.answered.set(self.answered.get() + 1);
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// The request that is being passed on has arrived in full.
+    pub(super) fn arrived(&self) {
+        self.began.set(None);
+    }
+
+    /// Whether a request began too long ago and is not there yet.
+    pub(super) fn overdue(&self, now: Instant) -> bool {
+        self.began.get().is_some_and(|at| now > at + ARRIVAL)
+    }
+
+    fn busy(&self) -> bool {
+        self.passed.get() > self.answered.get()
+    }
+}
+
+/// How the bytes held go on.
+#[derive(Debug, PartialEq)]
+enum Next {
+    /// No head is whole yet.
+    Incomplete,
+    /// A request of so many bytes, head and body.
+    Request(u64),
+    /// A request whose body is chunked.
+    Chunked,
+    /// No request, or one with an end that is in doubt.
+    Unreadable,
+}
+
+/// Reads what begins with a head.
+fn next(held: &[u8]) -> Next {
+    // Every method is in capitals: what else there is, such as the rest of a body that is longer than
+    // its length, may never come to an end.
+    if held.first().is_some_and(|b| !b.is_ascii_uppercase() && !b"\r\n".contains(b)) {
+        return Next::Unreadable;
+    }
+    let mut fields = [EMPTY_HEADER; MOST_FIELDS];
+    let mut request = Request::new(&mut fields);
+    let head = match request.parse(held) {
+        Ok(Status::Complete(head)) => head,
+        Ok(Status::Partial) if held.len() < LONGEST_HEAD => return Next::Incomplete,
+        _ => return Next::Unreadable,
+    };
+    let named = |name: &'static str| {
+        request.headers.iter().filter(move |h: &&Header| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+    };
+    let (mut lengths, mut codings) = (named("content-length"), named("transfer-encoding"));
+    match (lengths.next(), lengths.next(), codings.next()) {
+        (None, _, None) => Next::Request(head as u64),
+        (None, _, Some(_)) => Next::Chunked,
+        (Some(length), None, None) => {
+            let digits = std::str::from_utf8(length).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
+            let body = digits.and_then(|t| t.parse::<u64>().ok());
+            body.and_then(|body| body.checked_add(head as u64)).map_or(Next::Unreadable, Next::Request)
+        }
+        _ => Next::Unreadable,
+    }
+}
+
+/// What hyper reads a client's requests from.
+pub(super) struct Reader {
+    stream: Rc<TcpStream>,
+    intake: Rc<Intake>,
+    /// What has come and is not passed on yet.
+    held: BytesMut,
+    /// How much of `held` was looked at for a head's end.
+    seen: usize,
+    /// How many bytes more belong to the request that is being passed on.
+    left: u64,
+}
+
+impl Reader {
+    pub(super) fn new(stream: Rc<TcpStream>, intake: Rc<Intake>) -> Self {
+        Reader { stream, intake, held: BytesMut::new(), seen: 0, left: 0 }
+    }
+
+    /// Looks for a head in what is held: at once, and then only where a line that may end one has
+    /// come. Guards against one that comes byte by byte: each look costs its whole length.
+    fn look(&mut self) -> Next {
+        let ended =
+            |new: &[u8]| new.windows(2).any(|w| w == b"\n\n") || new.windows(3).any(|w| w == b"\n\r\n");
+        let full = self.held.len() >= LONGEST_HEAD;
+        let worth_it = self.seen == 0 || full || ended(&self.held[self.seen.saturating_sub(2)..]);
+        self.seen = self.held.len();
+        if worth_it {
+            next(&self.held)
+        } else {
+            Next::Incomplete
+        }
+    }
+
+    /// Begins to pass the next request on, where its head is there.
+    fn begin(&mut self) -> io::Result<()> {
+        let intake = &self.intake;
+        if self.held.is_empty() || intake.busy() || self.left > 0 {
+            return Ok(());
+        }
+        if intake.began.get().is_none() {
+            intake.began.set(Some(Instant::now()));
+            self.seen = 0;
+        }
+        self.left = match self.look() {
+            Next::Incomplete => return Ok(()),
+            Next::Request(length) => length,
+            Next::Chunked => u64::MAX,
+            Next::Unreadable => return Err(self.refuse()),
+        };
+        // A body that is longer than its length: what follows it is no request.
+        let behind = usize::try_from(self.left).ok().and_then(|end| self.held.get(end..));
+        if behind.is_some_and(|behind| !behind.is_empty() && next(behind) == Next::Unreadable) {
+            return Err(self.refuse());
+        }
+        self.seen = 0;
+        self.intake.last.set(self.left == u64::MAX);
+        self.intake.passed.set(self.intake.passed.get() + 1);
+        Ok(())
+    }
+
+    /// What cannot be read ends the connection, whatever waits on it.
+    fn refuse(&self) -> io::Error {
+        self.intake.unreadable.set(!self.intake.busy());
+        io::Error::new(io::ErrorKind::InvalidData, "no request")
+    }
+
+    fn pass_on(&mut self, buf: &mut ReadBuf<'_>) {
+        let n = self.held.len().min(buf.remaining()).min(usize::try_from(self.left).unwrap_or(usize::MAX));
+        buf.put_slice(&self.held[..n]);
+        self.held.advance(n);
+        if self.left < u64::MAX {
+            self.left -= n as u64;
+        }
+        if self.left == 0 {
+            self.intake.arrived();
+        }
+    }
+}
+
+impl AsyncRead for Reader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            self.begin()?;
+            if self.left > 0 && !self.held.is_empty() {
+                self.pass_on(buf);
+                return Poll::Ready(Ok(()));
+            }
+            let behind = self.left == 0 && self.intake.busy();
+            if behind {
+                // Another request waits for its turn.
+                if self.seen < self.held.len() && self.look() == Next::Unreadable {
+                    return Poll::Ready(Err(self.refuse()));
+                }
+                *self.intake.waiting.borrow_mut() = Some(cx.waker().clone());
+                if self.held.len() >= LONGEST_HEAD {
+                    return Poll::Pending;
+                }
+            }
+            ready!(self.stream.poll_read_ready(cx))?;
+            let Reader { stream, held, .. } = &mut *self;
+            held.reserve(CHUNK);
+            match stream.try_read_buf(held) {
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Reader {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        super::poll_write(&self.stream, cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The answer to what cannot be read is not hyper's, and is still to come.
+        Poll::Ready(if self.intake.unreadable.get() { Ok(()) } else { super::end_sending(&self.stream) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_ends_where_its_one_length_says_and_nowhere_else() {
+        let head = |fields: &str| format!("POST /transfer HTTP/1.1\r\nHost: x\r\n{fields}\r\n");
+        let of = |fields: &str| next(head(fields).as_bytes());
+        let bare = head("").len() as u64;
+        assert_eq!(of(""), Next::Request(bare));
+        assert_eq!(of("Content-Length: 4\r\n"), Next::Request(bare + 19 + 4));
+        assert_eq!(of("transfer-encoding: chunked\r\n"), Next::Chunked);
+        for doubt in [
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\ncontent-length: 4\r\n",
+            "Content-Length: 4\r\nContent-Length: 4\r\n",
+            "Content-Length: -4\r\n",
+            "Content-Length: +4\r\n",
+            "Content-Length: 4, 4\r\n",
+            "Content-Length:\r\n",
+            "Content-Length: 99999999999999999999\r\n",
+            "no field\r\n",
+        ] {
+            assert_eq!(of(doubt), Next::Unreadable, "{doubt}");
+        }
+        assert_eq!(next(b"POST /transfer HT"), Next::Incomplete);
+        assert_eq!(next(b"dy"), Next::Unreadable);
+        assert_eq!(next(&vec![b'A'; LONGEST_HEAD]), Next::Unreadable);
+    }
+}
