--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -260,7 +260,7 @@
     pub headers: HeaderMap,
     pub id: HeaderValue,
     pub body: Bytes,
-    /// When the client gives up.
+    /// When the client gives up, or this program has to end.
     pub deadline: Micros,
 }
 
@@ -330,7 +330,8 @@
     let task = tokio::task::spawn_local(async move {
         let sent = Sent::default();
         let run = run(&net, &order, (req, fetch), &to, &sent, tx);
-        let ended = tokio::time::timeout_at(net.clock.instant(until), run).await;
+        let until = net.clock.instant(until.min(order.deadline));
+        let ended = tokio::time::timeout_at(until, run).await;
         let (ending, load, rest) = match ended {
             Ok(Ended { ending, load, rest }) => (ending, load, rest),
             Err(_) => (Ending::Expired, None, None),
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -46,6 +46,9 @@
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// How long a body may take to arrive: its client is then told so, before the whole is overdue.
 const BODY_WAIT: Duration = ARRIVAL.saturating_sub(Duration::from_millis(500));
+/// The time that a new connection has to bring a req before it is the first to make room, in
+/// microseconds.
+const GRACE: Micros = 200_000;
 /// Between two looks at what is overdue.
 const SWEEP: Duration = Duration::from_millis(250);
 /// The most bytes, and for how long, that are still read from a client after an answer that closes.
@@ -99,15 +102,21 @@
 }
 
 impl Clients {
-    /// Asks the connection that has been idle for longest to close; tells whether there was one.
+    /// Asks the idle connection that is missed least to close; tells whether there was one. First go
+    /// those that have had the time to bring a req and have not, then the one idle for longest.
     /// Guards against usual clients that lose theirs to hundreds that say nothing, or only half of
-    /// something: those that never brought a req go first.
-    fn close_oldest(&self) -> bool {
+    /// something; and against closing, in a full house, always on the one just accepted.
+    fn close_one(&self, now: Micros) -> bool {
+        let rank = |c: &Client, since: Micros| match (c.known.get(), now > since + GRACE) {
+            (false, true) => 0,
+            (true, _) => 1,
+            (false, false) => 2,
+        };
         let open = self.open.borrow();
         let staying = open.iter().filter(|c| !c.told_to_close.get());
-        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| ((c.known.get(), since), c)));
-        let oldest = idle.min_by_key(|(key, _)| *key);
-        oldest.map(|(_, client)| client.close()).is_some()
+        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| ((rank(c, since), since), c)));
+        let least = idle.min_by_key(|(key, _)| *key);
+        least.map(|(_, client)| client.close()).is_some()
     }
 }
 
@@ -133,7 +142,7 @@
     loop {
         // A full house accepts nobody until an idle connection has made room.
         while clients.open.borrow().len() >= net.socket_share() {
-            if clients.close_oldest() {
+            if clients.close_one(net.clock.now()) {
                 net.count(|c| &mut c.evicted_clients);
             }
             tokio::select! {
@@ -157,7 +166,7 @@
                     log!("accept failed for the {errors}. time: {e}");
                 }
                 net.backends.close_oldest();
-                clients.close_oldest();
+                clients.close_one(net.clock.now());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -185,7 +194,7 @@
     let (net, clients) = (net.clone(), clients.clone());
     tokio::task::spawn_local(async move {
         let stream = Rc::new(stream);
-        converse(&net, &client, stream.clone()).await;
+        converse(&net, &clients, &client, stream.clone()).await;
         _ = tokio::time::timeout(LINGER, part(&net, &client, &stream)).await;
         drop(stream);
         clients.open.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
@@ -194,7 +203,7 @@
 }
 
 /// One connection from its first req to its last.
-async fn converse(net: &Rc<Net>, client: &Rc<Client>, stream: Rc<TcpStream>) {
+async fn converse(net: &Rc<Net>, clients: &Clients, client: &Rc<Client>, stream: Rc<TcpStream>) {
     let service = service_fn(|request| async {
         let mut response = respond(net, client, request).await;
         if client.intake.last.get() {
@@ -220,7 +229,9 @@
                 if client.idle_since.get().is_some() {
                     return;
                 }
-                client.told_to_close.set(false); // a whole req has come meanwhile
+                // A whole req has come meanwhile: another one is to make room.
+                client.told_to_close.set(false);
+                clients.changed.notify_one();
             }
         }
     }
@@ -459,6 +470,7 @@
     if !held.claim(&id) {
         return Err(plain(StatusCode::CONFLICT, "another open req has this Req-Id\n"));
     }
+    let deadline = net.bounded(arrived, deadline);
     Ok((job, Order { method: head.method, target, headers, id, body, deadline }, held))
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,9 +25,14 @@
 use crate::config::{self, Config};
 use crate::facade::{Facade, Micros, Seen, Step};
 
-/// How long after SIGTERM new reqs are still taken as usual: the platform's front sends some for
-/// 0.4 s yet, and clients use their connections until these are closed.
-const LINGER: Duration = Duration::from_millis(720);
+/// How long after SIGTERM the platform may still bring reqs that must be answered, whatever else: its
+/// front sends some for 0.4 s, and clients use their connections until these are closed.
+const LINGER: Micros = 720_000;
+/// SIGKILL follows SIGTERM after the longest deadline, or this where that is longer, and a bit.
+const LONGEST_STOP: Micros = 3_000_000;
+const STOP_MARGIN: Micros = 700_000;
+/// The last answer is out this long before SIGKILL.
+const BEFORE_KILL: Micros = 100_000;
 /// Between two looks at whether there is something new to log.
 const LOG_EVERY: Duration = Duration::from_secs(10);
 /// Descriptors for what is not a client or a backend: standard streams, the runtime's own, the
@@ -120,6 +125,8 @@
     pub director: watch::Sender<SocketAddr>,
     pub subscribe: Notify,
     pub ready: Cell<bool>,
+    /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
+    pub stop: Cell<Option<(Micros, Micros)>>,
     pub open: front::Open,
 }
 
@@ -142,6 +149,15 @@
         self.counters.borrow_mut().broken += u64::from(!holds);
     }
 
+    /// A deadline, cut to what SIGKILL leaves of it. Guards against a req that was taken late in a stop
+    /// and is cut off without an answer.
+    pub(crate) fn bounded(&self, arrived: Micros, deadline: Micros) -> Micros {
+        match self.stop.get() {
+            Some((after, last)) if arrived > after => deadline.min(last),
+            _ => deadline,
+        }
+    }
+
     /// Descriptors for clients, and as many for backends.
     pub(crate) fn socket_share(&self) -> usize {
         (self.config.sockets - RESERVED_SOCKETS) / 2
@@ -164,6 +180,7 @@
         director: watch::Sender::new(config.director),
         subscribe: Notify::new(),
         ready: Cell::new(false),
+        stop: Cell::new(None),
         open: front::Open::default(),
         config,
     });
@@ -235,8 +252,14 @@
 
 async fn stop_when_told(net: Rc<Net>, mut term: Signal, mut int: Signal) {
     tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
-    log!("told to stop: serving on for {} ms", LINGER.as_millis());
-    tokio::time::sleep(LINGER).await;
+    // Kept connections are served for about half of the time there is, as the others may be just as
+    // busy, or stopped themselves; what is left is for what was taken.
+    let longest = net.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let kill = longest.min(LONGEST_STOP) + STOP_MARGIN;
+    let (now, linger) = (net.clock.now(), (kill / 2).max(LINGER));
+    net.stop.set(Some((now + LINGER / 2, now + kill.saturating_sub(BEFORE_KILL))));
+    log!("told to stop: serving on for {} ms", linger / 1_000);
+    tokio::time::sleep(Duration::from_micros(linger)).await;
     log!("closing: {} reqs are owed an answer", net.facade.borrow().owed());
     net.closing.send_replace(true);
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -493,6 +493,23 @@
     assert!(open <= 64, "{open} descriptors");
 }
 
+/// Guards against closing on the client just accepted, where all others have brought a req before:
+/// in a full house it would be the only one that has not.
+#[test]
+fn a_new_client_gets_the_time_to_bring_its_req_in_a_full_house() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 64, &[]);
+    let mut kept: Vec<_> = (0..14).map(|_| program.connect()).collect();
+    for (n, client) in kept.iter_mut().enumerate() {
+        assert_eq!(ask_on(client, &req("transfer", &format!("id-{n}"))).status(), 200);
+    }
+    let mut new: Vec<_> = (0..8).map(|_| program.connect()).collect();
+    for (n, client) in new.iter_mut().enumerate() {
+        assert_eq!(ask_on(client, &req("transfer", &format!("new-{n}"))).status(), 200);
+    }
+    assert_eq!(kept[0].read(&mut [0]).map_or(0, |n| n), 0, "the one idle for longest has made room");
+}
+
 #[test]
 fn told_to_stop_it_serves_on_for_a_while_answers_all_and_exits_with_0() {
     let (open, gate) = std::sync::mpsc::channel::<()>();
@@ -522,6 +539,23 @@
     drop((unused, half));
 }
 
+/// Guards against a req taken late in a stop that waits for its deadline, when SIGKILL comes first
+/// (3.7 s after SIGTERM, as the longest deadline is over 3 s).
+#[test]
+fn what_is_taken_late_in_a_stop_is_answered_before_the_kill() {
+    let backend = Peer::new(|_, _| true);
+    let mut program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut client = program.connect();
+    client.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("written");
+    assert_eq!(Message::read(&mut BufReader::new(&mut client)).expect("an answer").status(), 200);
+    let start = std::time::Instant::now();
+    program.signal("-TERM");
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    assert_eq!(ask_on(&mut client, &req("transfer", "id-1")).status(), 502);
+    assert_eq!((backend.count(), program.wait().code()), (1, Some(0)));
+    assert!(start.elapsed().as_millis() < 3_700, "{:?}", start.elapsed());
+}
+
 #[test]
 fn what_has_arrived_when_connections_are_closed_is_answered() {
     let backend = good();
@@ -539,7 +573,7 @@
     for (n, client) in clients.iter_mut().enumerate() {
         client.write_all(req("transfer", &format!("last-{n}")).as_bytes()).expect("written");
     }
-    std::thread::sleep(std::time::Duration::from_secs(1));
+    std::thread::sleep(std::time::Duration::from_secs(2));
     program.signal("-CONT");
     for client in &mut clients {
         assert_eq!(Message::read(&mut BufReader::new(client)).expect("an answer").status(), 200);
