--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,8 +47,9 @@
 const KEPT: f64 = 0.5;
 /// Random draws for a fitting pair, and held jobs looked past that found none.
 const DRAWS: usize = 8;
-/// A worker in another zone counts as this many slots busier: a crossing costs.
+/// A worker in another zone counts as this many slots busier: a crossing takes time, and has a price.
 const CROSS_SLOTS: f64 = 0.3;
+const CROSS_PRICE_SLOTS: f64 = 160.0;
 /// Slots that a charged new connection is worth, for a price of the whole result.
 const HANDSHAKE_SLOTS: f64 = 20.0;
 /// Share of a cold worker's budget that is used; the rest is for chance.
@@ -128,9 +129,7 @@
     fn on_news(&mut self, w: usize) {
         self.count_again(w);
         let worker = &mut self.workers[w];
-        worker.quiet_since = self.now;
-        worker.trials = 0;
-        worker.shun_until = 0;
+        (worker.quiet_since, worker.trials, worker.shun_until) = (self.now, 0, 0);
         worker.dither = self.rng.f64();
     }
 
@@ -163,8 +162,7 @@
     /// A worker that turned a job away or let it queue has no slot now, whatever it reported.
     fn mark_full(&mut self, w: usize) {
         self.workers[w].free = self.workers[w].free.min(0.0);
-        self.workers[w].heard = Some(self.now);
-        self.workers[w].dither = self.rng.f64();
+        (self.workers[w].heard, self.workers[w].dither) = (Some(self.now), self.rng.f64());
     }
 
     /// How far what was heard of a worker still holds: 1 fresh, 0 stale or never heard.
@@ -199,8 +197,7 @@
         let jittered = span * (0.75 + 0.5 * self.rng.f64());
         let worker = &mut self.workers[w];
         let doubled = jittered * f64::from(1u32 << worker.trials.min(MAX_DOUBLINGS));
-        worker.shun_until = self.now + doubled as Micros;
-        worker.trials += 1;
+        (worker.shun_until, worker.trials) = (self.now + doubled as Micros, worker.trials + 1);
     }
 
     fn expected_run(&self, class: usize, w: usize) -> f64 {
@@ -347,19 +344,21 @@
 
     // ---- The pick ----
 
-    /// The better of two random fitting workers, or none: then the job stays held. For a key the two
-    /// come from where it is at home on the ring, so that what was fetched is used again; all probe
-    /// results, and all of the group of a keyed job that may have run, are gone through.
+    /// The better of two random fitting workers, or none: then the job stays held. Every other draw is
+    /// from the own zone where crossings are charged, and all from a key's home on the ring, where what
+    /// was fetched is used again; probe results and a keyed job's group are gone through as a whole.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         let r = self.requests.get(&id)?;
         let (class, group, key) = (r.class, self.group_of(r), r.key);
         let (probing, bound, home) = (self.probing(), group.is_some(), key.map(|key| self.home(key)));
+        let charged = self.settings.cross_price > 0.0 && !self.near.is_empty();
         let all = if probing { self.probed.len() } else { self.live.len() };
         let (mut best, mut found) = (None::<(f64, usize)>, 0);
         for draw in 0..if bound || probing { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
                 _ if probing => &self.probed,
                 Some(kind) if !bound => self.live_by_kind.get(&kind)?,
+                _ if charged && !bound && draw % 2 == 0 => &self.near,
                 _ => &self.live,
             };
             let at = if probing || bound { draw } else { self.rng.usize(..pool.len().max(1)) };
@@ -383,7 +382,8 @@
     /// What the pick compares, in slots: expected free ones, the pace and what a send costs extra.
     fn load(&self, class: usize, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let cross = if worker.zone != self.settings.zone { CROSS_SLOTS } else { 0.0 };
+        let cross = f64::from(u8::from(worker.zone != self.settings.zone))
+            * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
         let pace = self.expected_run(class, w) / self.classes[class].run.max(1.0);
         let dial = if worker.idle_until > self.now { 0.0 } else { self.settings.handshake_price };
         cross + pace + HANDSHAKE_SLOTS * dial - self.expected_free(w)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub connect_timeout: Micros,
     /// The price of a new connection, in parts of the result for each request; 0: free.
     pub handshake_price: f64,
+    /// The price of an attempt that crosses zones, in parts of the result for each request; 0: free.
+    pub cross_price: f64,
     /// Least time between batches.
     pub tick: Micros,
     /// A cold worker starts at this share of its capacity or more.
@@ -145,6 +147,7 @@
             idle_close: 60_000_000,
             connect_timeout: 120_000,
             handshake_price: 0.0,
+            cross_price: 0.0,
             tick: 2_000,
             cold_share: 0.3,
             ramp: 10_000_000,
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,8 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) index: FxHashMap<WorkerId, usize>,
     pub(crate) live: Vec<usize>,
+    /// The active ones of the own zone.
+    pub(crate) near: Vec<usize>,
     pub(crate) live_by_kind: FxHashMap<u32, Vec<usize>>,
     /// The active workers in the order of a mixture of their ids: a key's workers follow its own.
     pub(crate) ring: Vec<(u64, usize)>,
@@ -422,6 +424,8 @@
     /// Sorts the active workers into the pools that picks draw from.
     pub(crate) fn refill_pools(&mut self) {
         self.live = (0..self.workers.len()).filter(|&w| self.workers[w].active).collect();
+        let near = |w: &usize| self.workers[*w].zone == self.settings.zone;
+        self.near = self.live.iter().copied().filter(near).collect();
         self.warmth = self.live.iter().map(|&w| self.warm_share(w)).sum();
         self.live_by_kind.clear();
         for &w in &self.live {
@@ -461,6 +465,7 @@
             (!sound(self.cold_share), "cold_share", "must be 0 or more"),
             (!sound(self.fall_multiple), "fall_multiple", "must be 0 or more"),
             (!sound(self.handshake_price), "handshake_price", "must be 0 or more"),
+            (!sound(self.cross_price), "cross_price", "must be 0 or more"),
         ];
         match complaints.into_iter().find(|c| c.0) {
             Some((_, name, why)) => Err(SettingsError { name, why }),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -182,9 +182,10 @@
 }
 
 #[derive(Deserialize, Default)]
-#[serde(default)]
+#[serde(rename_all = "kebab-case", default)]
 struct Prices {
     handshake: f64,
+    cross_zone: f64,
 }
 
 /// Milliseconds on the wire to microseconds; what is not a positive number counts as 0.
@@ -280,6 +281,7 @@
         idle_close: micros(boot.limits.idle_close_ms),
         connect_timeout: micros(boot.limits.connect_timeout_ms),
         handshake_price: boot.prices.handshake,
+        cross_price: boot.prices.cross_zone,
         tick: micros(boot.resolution_ms),
         cold_share: boot.obligations.cold_share,
         ramp: micros(boot.obligations.ramp_time_ms),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -128,6 +128,39 @@
     assert!(chosen[0] > 2 * chosen[1], "{chosen:?}");
 }
 
+/// Guards against paying for crossings while the own zone has slots free, and against waiting for it
+/// when it has none.
+#[test]
+fn where_crossings_are_charged_the_own_zone_comes_first() {
+    let bench = |cross_price: f64| {
+        let mut bench = Bench::new(Settings { cross_price, ..settings() }, 9);
+        let far: Vec<Row> = (3..9).map(|w| Row { zone: 1 + w / 6, ..row(w) }).collect();
+        bench.event(Event::List { kind: ListKind::Changes, rows: &far });
+        bench
+    };
+    let near = |cross_price: f64| {
+        let mut bench = bench(cross_price);
+        let mut near = 0;
+        for _ in 0..100 {
+            let (id, actions) = bench.request(0);
+            near += u32::from(sent(&actions, id).is_some_and(|w| w.0 < 3));
+            bench.started(id, 0);
+            bench.now += 20 * MS;
+            bench.settled(id, 0, Ending::Delivered);
+        }
+        near
+    };
+    assert!(near(0.0) < 60, "{}", near(0.0));
+    assert!(near(0.03) > 85, "{}", near(0.03));
+    let mut bench = bench(0.03);
+    let mut far = 0;
+    for _ in 0..48 {
+        let (id, actions) = bench.request(0);
+        far += u32::from(sent(&actions, id).is_some_and(|w| w.0 >= 3));
+    }
+    assert!(far >= 10, "{far} of 48 that are all open");
+}
+
 #[test]
 fn class_kind_and_group_decide_what_fits() {
     let mut with_kind = settings();
