--- a/src/decide.rs
+++ b/src/decide.rs
@@ -97,7 +97,7 @@
                 self.on_request(id, r, tenant as usize, remaining)
             }
             Event::Started { id, attempt } => self.on_started(id, attempt as usize),
-            Event::Progress { worker } => _ = self.index.get(&worker).copied().map(|w| self.on_news(w)),
+            Event::Progress { id, attempt } => _ = self.hear(id, attempt as usize).map(|w| self.on_news(w)),
             Event::Settled { id, attempt, ending, finished, report } => {
                 self.on_settled(id, attempt as usize, ending, finished, report)
             }
@@ -152,8 +152,7 @@
         // Own sends since the sample was taken are not in it yet.
         let unseen = if lag > 0.0 { worker.out - worker.lagged_out } else { 0.0 };
         worker.free = free - unseen - report.backlog.unwrap_or(0.0);
-        worker.memory = report.free_memory;
-        worker.heard = Some(self.now.saturating_sub(lag as Micros));
+        (worker.memory, worker.heard) = (report.free_memory, Some(self.now.saturating_sub(lag as Micros)));
         self.mean_free += LEARN * (free - self.mean_free);
         let slots = report.outstanding.filter(|_| free >= 1.0).map_or(self.mean_slots, |held| free + held);
         self.mean_slots += LEARN * (slots - self.mean_slots);
@@ -184,6 +183,7 @@
     /// apart from the pick: with the cap full of such jobs no worker is drawn any more.
     fn watch_for_silence(&mut self) {
         while let Some(w) = self.next_to_watch(self.mean_run / 2.0) {
+            self.miss_progress(w);
             let (worker, quiet) = (&self.workers[w], self.since(self.workers[w].quiet_since));
             let patience = if worker.unstarted > 0 { PATIENCE } else { PATIENCE_RUNNING };
             if quiet > patience * self.mean_run {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -266,8 +266,8 @@
                 self.feed(now, Event::Started { id, attempt });
             }
             Seen::Progress(req, fetch) => {
-                let worker = self.reqs.get(&req.0).and_then(|open| *open.fetches.get(fetch)?);
-                worker.into_iter().for_each(|worker| self.feed(now, Event::Progress { worker }));
+                let (id, attempt) = (RequestId(req.0.into()), fetch as u32);
+                self.feed(now, Event::Progress { id, attempt });
             }
             Seen::Ended(req, fetch, ending, report) => _ = self.on_ended(now, req, fetch, ending, report),
             Seen::Probed(backend, ok, report) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,8 @@
     pub ask_every: Micros,
     /// Workers tell when a job starts.
     pub tells_start: bool,
+    /// Workers start waiting jobs strictly in the order in which these came.
+    pub in_order: bool,
     /// How often workers tell a job's progress; 0: never.
     pub progress_every: Micros,
     /// Where load reports come from.
@@ -136,6 +138,7 @@
             list_on_request: false,
             ask_every: 10_000_000,
             tells_start: true,
+            in_order: false,
             progress_every: 0,
             reports: Reports::None,
             may_probe: false,
@@ -285,10 +288,12 @@
         /// The attempt's number.
         attempt: u32,
     },
-    /// A job makes progress at a worker.
+    /// An attempt that runs makes progress.
     Progress {
-        /// The worker.
-        worker: WorkerId,
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u32,
     },
     /// An attempt ended.
     Settled {
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,7 +25,8 @@
     pub lagged_at: Micros,
     /// Of these, slots that are not counted against the cap, as the worker is silent.
     pub aside: f64,
-    /// Own attempts without an outcome, and those not known to have started.
+    /// Own attempts without an outcome: all, and how many count; those not known to have started.
+    pub attempts: Vec<(RequestId, usize)>,
     pub open: u32,
     pub unstarted: u32,
     pub last_sent: Micros,
@@ -58,7 +59,11 @@
     pub worker: usize,
     pub sent: Micros,
     pub started: Option<Micros>,
+    /// Last news of it.
+    pub heard: Micros,
     pub open: bool,
+    /// Its connection has gone silent, though its worker has not: it is not counted there.
+    pub astray: bool,
     pub may_have_run: bool,
 }
 
@@ -300,8 +305,9 @@
     pub(crate) fn open_attempt(&mut self, id: RequestId, w: usize) -> Option<usize> {
         let r = self.requests.get_mut(&id)?;
         let (slots, class, sent) = (r.slots, r.class, self.now);
-        let (started, open, may_have_run) = (None, true, true);
-        r.attempts.push(Attempt { worker: w, sent, started, open, may_have_run });
+        let (started, open, astray, may_have_run) = (None, true, false, true);
+        r.attempts.push(Attempt { worker: w, sent, started, heard: sent, open, astray, may_have_run });
+        self.workers[w].attempts.push((id, r.attempts.len() - 1));
         r.open += 1;
         let worker = &mut self.workers[w];
         if worker.open == 0 || self.settings.tells_start && worker.unstarted == 0 {
@@ -323,12 +329,14 @@
 
     /// Records that an attempt started; tells its worker, class, slots and wait, where it is news.
     pub(crate) fn start_attempt(&mut self, id: RequestId, n: usize) -> Option<(usize, usize, f64, f64)> {
+        self.hear(id, n);
         let r = self.requests.get_mut(&id)?;
         let a = r.attempts.get_mut(n).filter(|a| a.open && a.started.is_none())?;
         a.started = Some(self.now);
-        let worker = &mut self.workers[a.worker];
-        worker.unstarted = worker.unstarted.saturating_sub(1);
-        Some((a.worker, r.class, r.slots, (self.now - a.sent) as f64))
+        let (w, sent, told) = (a.worker, a.sent, (r.class, r.slots));
+        self.workers[w].unstarted = self.workers[w].unstarted.saturating_sub(1);
+        self.overtake(w, sent);
+        Some((w, told.0, told.1, (self.now - sent) as f64))
     }
 
     /// Records that an attempt ended; tells what it was, unless unknown or ended before.
@@ -340,13 +348,68 @@
         r.open -= 1;
         let (worker, class, slots, size) = (a.worker, r.class, r.slots, r.size);
         let ended = Ended { worker, class, slots, size, sent: a.sent, started: a.started };
-        let worker = &mut self.workers[ended.worker];
-        worker.open -= 1;
-        worker.unstarted -= u32::from(ended.started.is_none() && worker.unstarted > 0);
-        self.occupy(ended.worker, -ended.slots);
+        let counted = !a.astray;
+        self.workers[worker].attempts.retain(|known| *known != (id, n));
+        if counted {
+            self.count(worker, ended.started.is_none(), slots, false);
+        }
         Some(ended)
     }
 
+    /// An attempt counts at its worker from now on, or does no more.
+    fn count(&mut self, w: usize, unstarted: bool, slots: f64, counts: bool) {
+        let worker = &mut self.workers[w];
+        let waits = u32::from(unstarted && self.settings.tells_start);
+        if counts {
+            (worker.open, worker.unstarted) = (worker.open + 1, worker.unstarted + waits);
+        } else {
+            worker.open = worker.open.saturating_sub(1);
+            worker.unstarted = worker.unstarted.saturating_sub(waits);
+        }
+        self.occupy(w, if counts { slots } else { -slots });
+    }
+
+    /// There is news of an attempt: if it had gone astray, it counts again. Tells its worker.
+    pub(crate) fn hear(&mut self, id: RequestId, n: usize) -> Option<usize> {
+        let r = self.requests.get_mut(&id)?;
+        let a = r.attempts.get_mut(n).filter(|a| a.open)?;
+        a.heard = self.now;
+        let (worker, unstarted, slots) = (a.worker, a.started.is_none(), r.slots);
+        if std::mem::take(&mut a.astray) {
+            self.count(worker, unstarted, slots, true);
+        }
+        Some(worker)
+    }
+
+    /// Guards against believing a worker full, or silent, for a connection that has gone silent on its
+    /// own: until its time was up, one such attempt held slots, and kept all others from the worker.
+    fn lose(&mut self, w: usize, lost: impl Fn(&Attempt) -> bool) {
+        for (id, n) in self.workers[w].attempts.clone() {
+            let Some(r) = self.requests.get_mut(&id) else { continue };
+            let Some(a) = r.attempts.get_mut(n).filter(|a| !a.astray && lost(a)) else { continue };
+            a.astray = true;
+            let (unstarted, slots) = (a.started.is_none(), r.slots);
+            self.count(w, unstarted, slots, false);
+        }
+    }
+
+    /// An attempt sent then has started: where jobs start in order, what was sent to the worker well
+    /// before it and has not started never will. A new connection may come up later than it was sent.
+    fn overtake(&mut self, w: usize, sent: Micros) {
+        if self.settings.in_order {
+            let before = sent.saturating_sub(self.settings.connect_timeout);
+            self.lose(w, |a| a.started.is_none() && a.sent < before);
+        }
+    }
+
+    /// A running job tells its progress: one that has missed two reports runs no more, or unheard.
+    pub(crate) fn miss_progress(&mut self, w: usize) {
+        let (now, span) = (self.now, 2 * self.settings.progress_every + self.settings.connect_timeout);
+        if self.settings.progress_every > 0 {
+            self.lose(w, |a| a.started.is_some() && a.heard + span < now);
+        }
+    }
+
     /// Keeps a report, and count of how often a worker's report changes; tells whether it is the
     /// one that came last.
     pub(crate) fn seen_before(&mut self, w: usize, report: &Report) -> bool {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -140,6 +140,7 @@
     class_kind: Vec<i64>,
     class_priority: Vec<i64>,
     class_stretch: Vec<f64>,
+    queue_order: String,
     progress_ms: f64,
     tells_start: bool,
 }
@@ -266,6 +267,7 @@
         list_on_request: boot.membership_mode == "on_request",
         ask_every: micros(boot.obligations.ask_every_ms),
         tells_start: family.tells_start,
+        in_order: boot.family_info.queue_order == "fifo",
         progress_every: micros(family.progress_ms),
         reports: match boot.load_info.how.as_str() {
             "answers" => Reports::Answers,
@@ -482,10 +484,7 @@
             },
             "INTERIM" => match line.topic {
                 Some(1) => Event::Started { id: id()?, attempt: trial()? },
-                Some(2) => {
-                    let name = line.worker.ok_or_else(|| need("worker"))?;
-                    Event::Progress { worker: worker_id(name) }
-                }
+                Some(2) => Event::Progress { id: id()?, attempt: trial()? },
                 _ => return Ok(()),
             },
             "SETTLED" => Event::Settled {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -161,6 +161,40 @@
     assert!(far >= 10, "{far} of 48 that are all open");
 }
 
+/// Guards against a worker that is kept from jobs, and slots that are held, for as long as a client
+/// waits, by a connection that has gone silent while its worker serves on.
+#[test]
+fn a_connection_gone_silent_does_not_stand_for_its_worker() {
+    let with = Settings { in_order: true, progress_every: 200 * MS, ..settings() };
+    for starts in [false, true] {
+        let mut bench = Bench::new(with.clone(), 1);
+        // One that waits keeps others from the worker; as many that run as fill the cap do it too.
+        let lost: Vec<RequestId> = (0..if starts { 14 } else { 1 }).map(|_| bench.request(0).0).collect();
+        lost.iter().filter(|_| starts).for_each(|id| _ = bench.started(*id, 0));
+        let mut went = 0;
+        for _ in 0..40 {
+            // Whatever is sent starts at once and is served; what is sent on such news, too.
+            let mut actions = bench.request(0).1;
+            actions.extend(bench.wait(50 * MS));
+            while let Some(action) = actions.pop() {
+                let Action::Send { id, .. } = action else { continue };
+                went += 1;
+                actions.extend(bench.started(id, 0));
+                bench.now += 10 * MS;
+                actions.extend(bench.settled(id, 0, Ending::Delivered));
+            }
+            bench.wait(100 * MS);
+        }
+        assert!(went >= 25, "{went} of 40 were sent, started: {starts}");
+        // Heard of again, it counts again, and its end is its end.
+        bench.event(Event::Progress { id: lost[0], attempt: 0 });
+        bench.settled(lost[0], 0, Ending::Error);
+        bench.wait(100 * MS);
+        let (id, actions) = bench.request(0);
+        assert!(sent(&actions, id).is_some());
+    }
+}
+
 #[test]
 fn class_kind_and_group_decide_what_fits() {
     let mut with_kind = settings();
