--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -40,6 +40,10 @@
 const REST: Duration = Duration::from_millis(500);
 /// The longest that a dial may take where the settings don't say.
 const DIAL: Duration = Duration::from_secs(1);
+/// In what time the span for which connections are kept idle doubles again after it was cut.
+const REGAIN: Micros = 20_000_000;
+/// The least that it is cut to.
+const LEAST_KEPT: Micros = 10_000;
 /// Between two looks at the idle connections.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -114,6 +118,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     socket: Rc<Socket>,
     task: JoinHandle<()>,
+    /// How long it had been idle when it was last taken; `None` for a new one.
+    idle: Option<Micros>,
 }
 
 impl Link {
@@ -125,7 +131,7 @@
         let io = TokioIo::new(Io(socket.clone()));
         let (sender, connection) = handshake(io).await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move { _ = connection.await });
-        Ok(Link { address, sender, socket, task })
+        Ok(Link { address, sender, socket, task, idle: None })
     }
 
     /// Opens a connection that no budget counts.
@@ -161,6 +167,8 @@
 pub(crate) struct Backends {
     all: RefCell<FxHashMap<Rc<str>, Backend>>,
     open: Rc<Cell<usize>>,
+    /// How long an idle connection was last held to be safe, and when.
+    safe: Cell<Option<(Micros, Micros)>>,
 }
 
 impl Backends {
@@ -194,8 +202,10 @@
     fn take_idle(&self, net: &Net, name: &str) -> Option<Link> {
         let mut all = self.all.borrow_mut();
         let backend = all.get_mut(name)?;
-        while let Some((since, link)) = backend.idle.pop() {
-            if net.clock.now() < since + keep(net) && !link.is_dead() && link.sender.is_ready() {
+        while let Some((since, mut link)) = backend.idle.pop() {
+            let idle = net.clock.now().saturating_sub(since);
+            if idle < keep(net) && !link.is_dead() && link.sender.is_ready() {
+                link.idle = Some(idle);
                 return Some(link);
             }
             net.count(|c| &mut c.dead_idle);
@@ -235,9 +245,15 @@
     }
 }
 
-/// How long a connection is kept idle: half of what the other side may.
+/// How long a connection is kept idle: half of what the other side may, or less for a while where one
+/// that had been idle was reset. Guards against whatever lies between and forgets connections sooner
+/// than the settings say: a transfer written to such a one is in doubt, and lost.
 fn keep(net: &Net) -> Micros {
-    net.config.settings.idle_close / 2
+    let most = net.config.settings.idle_close / 2;
+    net.backends.safe.get().map_or(most, |(safe, at)| {
+        let doublings = net.clock.now().saturating_sub(at) as f64 / REGAIN as f64;
+        most.min((safe as f64 * doublings.exp2()) as Micros)
+    })
 }
 
 /// Closes connections that have been idle for long enough.
@@ -385,6 +401,11 @@
     *sent.0.borrow_mut() = Some((link.socket.clone(), end));
     let Ok(response) = link.sender.send_request(request).await else {
         net.count(|c| &mut c.resets);
+        if let Some(idle) = link.idle {
+            net.count(|c| &mut c.idle_resets);
+            let safe = keep(net).min(idle) / 2;
+            net.backends.safe.set(Some((safe.max(LEAST_KEPT), net.clock.now())));
+        }
         return Ending::Dropped.into();
     };
     net.must(link.socket.written.get() == end, "a request is as long as reckoned");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -80,6 +80,7 @@
     pub reused: u64,
     pub dead_idle: u64,
     pub resets: u64,
+    pub idle_resets: u64,
     pub early_ends: u64,
     pub lost_jobs: u64,
     pub malformed_lines: u64,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -57,6 +57,28 @@
     }
 }
 
+/// Guards against writing reqs to kept connections for as long as the settings allow, where these are
+/// forgotten sooner on the way.
+#[test]
+fn connections_that_are_reset_when_idle_are_kept_for_less_time() {
+    let last = std::sync::Mutex::new(std::collections::HashMap::new());
+    let backend = Peer::new(move |message, stream| {
+        let from = stream.peer_addr().expect("its address");
+        let before = last.lock().unwrap().remove(&from);
+        let fresh = before.is_none_or(|at: std::time::Instant| at.elapsed().as_millis() < 60);
+        let served = fresh && done(message, stream, "made");
+        last.lock().unwrap().insert(from, std::time::Instant::now());
+        served
+    });
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut failed = 0;
+    for n in 0..30 {
+        failed += u32::from(program.ask(&req("transfer", &format!("id-{n}"))).status() == 502);
+        std::thread::sleep(std::time::Duration::from_millis(120)); // idle on purpose
+    }
+    assert!((1..=3).contains(&failed), "{failed} of 30");
+}
+
 #[test]
 fn where_starts_are_not_told_load_is_asked_for() {
     let backends: Vec<Peer> = ["0", "6"]
