--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -118,6 +118,19 @@
         let least = idle.min_by_key(|(key, _)| *key);
         least.map(|(_, client)| client.close()).is_some()
     }
+
+    /// Closes the one idle for longest of those that have brought a req, where these are too many.
+    /// Guards against clients that ask once and stay: the platform gives us no more connections for
+    /// reqs than a third of the descriptors, and turns usual clients away from there on.
+    fn keep_room(&self, sockets: usize, now: Micros) {
+        let open = self.open.borrow();
+        let known = || open.iter().filter(|c| c.known.get() && !c.told_to_close.get());
+        if known().count() > sockets / 3 * 3 / 4 {
+            // One that was answered just now may not have all of its answer yet.
+            let idle = known().filter_map(|c| Some((c.idle_since.get().filter(|at| now > at + GRACE)?, c)));
+            idle.min_by_key(|(since, _)| *since).into_iter().for_each(|(_, client)| client.close());
+        }
+    }
 }
 
 /// Closes connections whose req began too long ago and is not there yet; one that never said
@@ -211,6 +224,7 @@
         }
         client.idle_since.set(Some(net.clock.now()));
         client.intake.answered();
+        clients.keep_room(net.config.sockets, net.clock.now());
         Ok::<_, Infallible>(response)
     });
     let reader = TokioIo::new(Reader::new(stream, client.intake.clone()));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -532,6 +532,24 @@
     assert_eq!(kept[0].read(&mut [0]).map_or(0, |n| n), 0, "the one idle for longest has made room");
 }
 
+/// Guards against clients that ask once and stay until the platform gives us no more connections: it
+/// lets clients hold a third of the descriptors for reqs.
+#[test]
+fn those_who_ask_once_and_stay_leave_room_for_others() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 96, &[]);
+    let mut kept: Vec<_> = (0..30).map(|_| program.connect()).collect();
+    for (n, client) in kept.iter_mut().enumerate() {
+        assert_eq!(ask_on(client, &req("transfer", &format!("id-{n}"))).status(), 200);
+    }
+    std::thread::sleep(std::time::Duration::from_millis(300)); // idle on purpose
+    assert_eq!(ask_on(&mut kept[20], &req("transfer", "once-more")).status(), 200);
+    let limit = Some(std::time::Duration::from_secs(2));
+    kept[0].set_read_timeout(limit).expect("a limit");
+    assert_eq!(kept[0].read(&mut [0]).expect("an end"), 0, "24 of 32 connections are kept");
+    assert_eq!(ask_on(&mut kept[20], &req("transfer", "again")).status(), 200);
+}
+
 #[test]
 fn told_to_stop_it_serves_on_for_a_while_answers_all_and_exits_with_0() {
     let (open, gate) = std::sync::mpsc::channel::<()>();
