Split the program into crates, and ask for the list at a fresh start

Need: the coming subsystems want boundaries that the compiler holds; and a start without a remembered list never called the director (director_calls=0, /ready 503 for ever), as nothing feeds the module before the first req.

Change: a workspace of core, wire, jobs, standin and server, by git mv; the list's JSON form is a module of its own, so config no longer needs net/director. Facade::new sets its timer to now, and the watch begins by itself where the settings call the list pushed.

Behaviour is otherwise as before.

--- a/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,5 +1,5 @@
-//! All decisions of a dispatcher. Its interface (settings, events, actions) is src/interface.rs;
-//! what it remembers is src/state.rs.
+//! All decisions of a dispatcher. Its interface (settings, events, actions) is interface.rs;
+//! what it remembers is state.rs.
 //!
 //! The mechanism is the acceptor of "Web Server Support for Tiered Services" (HPL-1999-160): jobs
 //! wait in per-tier queues, leave strictly top tier first while own outstanding slots stay under a
--- a/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -14,7 +14,7 @@
 
 use crate::interface::{Action, Event, RequestId, Row, WorkerId};
 pub use crate::interface::{Condition, Ending, ListKind, Micros, Report, Settings, SettingsError};
-use crate::wire::worker_id;
+use crate::names::worker_id;
 use crate::Dispatcher;
 
 /// A req that was taken in.
@@ -180,7 +180,8 @@
             reqs: FxHashMap::default(),
             backends: FxHashMap::default(),
             last: 0,
-            wake_at: None,
+            // Guards against a start without a list: nothing else would let the module ask for one.
+            wake_at: Some(0),
             due: Due::default(),
             timer: None,
             tally: Tally::default(),
--- a/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,15 +1,15 @@
-//! A scheduler that pushes jobs to workers: the decisions, and the program around them.
+//! The decisions of oakshed, and nothing else: no sockets, files, clock, threads or async runtime.
 //!
-//! [`decide`], [`interface`] and the private `state` are the decision module, without I/O, clock or
-//! threads; [`wire`] hosts it on a simulator's wire; [`facade`] is its blocking-style front, which
-//! [`net`] serves on sockets as [`config`] says. No layer may know of one that is named after it,
-//! but for the settings' reader in [`wire`], which serves both programs.
+//! [`decide`], [`interface`] and the private `state` are the decision module; [`facade`] is its
+//! blocking-style front for programs on real sockets; [`names`] turns names into the module's numbers.
+//! Time and randomness are passed in, and what is to be done comes out as values: the same events and
+//! seed give the same actions everywhere. This crate must never depend on another of the project.
 //!
 //! Feed events to a [`Dispatcher`] and, once per batch, carry out the actions that it gives:
 //!
 //! ```
-//! use oakshed::interface::*;
-//! use oakshed::Dispatcher;
+//! use oakshed_core::interface::*;
+//! use oakshed_core::Dispatcher;
 //!
 //! let class = Class {
 //!     aim: 400_000, stretch: 2.0, deadline: 5_000_000, worth: 1.0, priority: 0,
@@ -30,15 +30,12 @@
 //! dispatcher.dispatch(1_000, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: sent, .. } if *sent == id)));
 //! ```
-#![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod config;
 pub mod decide;
 pub mod facade;
 pub mod interface;
-pub mod net;
+pub mod names;
 mod state;
-pub mod wire;
 
 pub use state::Dispatcher;
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small harness around a dispatcher: settings, a list of workers, and its actions.
 #![allow(dead_code)]
 
-use oakshed::interface::*;
-use oakshed::Dispatcher;
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 50_000_000;
--- a/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use oakshed::interface::*;
-use oakshed::Dispatcher;
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
 
 /// Fills one worker with jobs until the next one is held.
 fn fill(bench: &mut Bench, class: u32) -> Vec<RequestId> {
--- a/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::task::{Poll, Wake, Waker};
 
-use oakshed::facade::*;
-use oakshed::interface::{Class, Effect, Scope};
+use oakshed_core::facade::*;
+use oakshed_core::interface::{Class, Effect, Scope};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -151,8 +151,8 @@
         }
     }
 
-    fn take_step(&mut self, req: Req, step: oakshed::facade::Step) {
-        use oakshed::facade::Step;
+    fn take_step(&mut self, req: Req, step: oakshed_core::facade::Step) {
+        use oakshed_core::facade::Step;
         let r = self.reqs.get_mut(&req).expect("known");
         let may_have_run = r
             .fetches
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::collections::HashMap;
 
 use common::*;
-use oakshed::interface::*;
-use oakshed::Dispatcher;
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,2 @@
+//! Durable jobs with leases.
+#![warn(missing_docs)]
--- a/src/config.rs
+++ b/crates/server/src/config.rs
@@ -1,8 +1,8 @@
 //! What the program is told at its start: the ROUTER_* variables and the JSON file that one of
 //! them names.
 //!
-//! It owns the reading and checking of both; the settings in the file are read by wire.rs, the
-//! same for both programs. It must never guess: a value that cannot be used is named in one line,
+//! It owns the reading and checking of both; the settings in the file are read by
+//! oakshed-wire, the same for both programs. It must never guess: a value that cannot be used is named in one line,
 //! and the program does not start.
 
 use std::fmt::Display;
@@ -12,9 +12,10 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::facade::Settings;
-use crate::net::director::Answer;
-use crate::wire::{self, Names};
+use oakshed_core::facade::Settings;
+use oakshed_wire::Names;
+
+use crate::list::Answer;
 
 /// The fewest descriptors with which anything can be served.
 const LEAST_SOCKETS: usize = 64;
@@ -89,7 +90,7 @@
         }
         let known = file.known.map(|raw| Answer::parse(raw.get().as_bytes()));
         let settings = file.settings.ok_or_else(|| wrong(&"no 'settings'"))?;
-        let (settings, names) = wire::settings_and_names(settings.get()).map_err(|e| wrong(&e))?;
+        let (settings, names) = oakshed_wire::settings_and_names(settings.get()).map_err(|e| wrong(&e))?;
         Ok(Config {
             name: var("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".into()),
             listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,9 @@
+//! The scheduler on real sockets: what it is told ([`config`], [`list`]) and how it serves ([`net`]).
+//!
+//! Every decision on a req is made in oakshed-core; this crate carries decisions out, and reports what
+//! was seen. The order of its parts: `list` knows no other, `config` reads with it, `net` serves.
+#![warn(missing_docs)]
+
+pub mod config;
+pub mod list;
+pub mod net;
--- a/src/main.rs
+++ b/crates/server/src/main.rs
@@ -2,7 +2,6 @@
 //!
 //! It owns the sub-commands and the exit status: 0 after a stop in order, 1 where the program
 //! cannot start or go on. It must never hold anything that serving needs.
-#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
--- a/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -32,7 +32,7 @@
 use tokio::time::timeout;
 
 use super::Net;
-use crate::facade::{Condition, Ending, Entry, Micros, Report, Req, Seen};
+use oakshed_core::facade::{Condition, Ending, Entry, Micros, Report, Req, Seen};
 
 /// The longest line of a job's stream: no body on the platform is longer.
 const LONGEST_LINE: usize = 64 << 10;
--- a/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -1,6 +1,6 @@
 //! The director: the list of backends, and the watch on its changes.
 //!
-//! It owns the director's JSON form, the one connection to it and the number of the list held, and
+//! It owns the one connection to the director and the number of the list held, and
 //! keeps the backends' addresses and the facade's list in step. It must never decide when to
 //! subscribe (the facade says so), wait for a call without bound, or let a malformed list in.
 
@@ -12,12 +12,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{header::HOST, Request, StatusCode};
-use serde::Deserialize;
 
 use super::backends::Link;
 use super::{log, Net};
-use crate::facade::{Condition, Entry, ListKind, Seen};
-use crate::wire::{self, Names};
+use crate::list::Answer;
+use oakshed_core::facade::{Entry, ListKind, Seen};
 
 const PATH: &str = "/v1/endpoints";
 /// The shortest and the longest a watch is asked to hold.
@@ -33,59 +32,6 @@
 /// The largest list that is read.
 const LARGEST_LIST: usize = 1 << 20;
 
-/// An answer of the director: the whole list, or what has changed.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Answer {
-    generation: u64,
-    #[serde(default)]
-    reset: bool,
-    instances: Vec<Instance>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Instance {
-    instance_id: Rc<str>,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    machine_type: String,
-    #[serde(default)]
-    cell: u32,
-    lifecycle: String,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-impl Answer {
-    /// Reads an answer; what is malformed is told, never half taken.
-    pub fn parse(text: &[u8]) -> Result<Answer, String> {
-        serde_json::from_slice(text).map_err(|e| e.to_string())
-    }
-}
-
-impl Instance {
-    fn entry(&self, names: &Names) -> Entry {
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).map_or(u32::MAX, |i| i as u32)
-        };
-        Entry {
-            backend: self.instance_id.clone(),
-            zone: place(&names.zones, &self.zone),
-            kind: place(&names.kinds, &self.machine_type),
-            cell: self.cell,
-            condition: match self.lifecycle.as_str() {
-                "ready" => Condition::Active,
-                "gone" => Condition::Left,
-                // Draining, or a word of a later day: nothing new goes there.
-                _ => Condition::Leaving,
-            },
-            online_since: wire::micros(self.started_at_ms),
-        }
-    }
-}
-
 /// Takes in the list as it was last held, before anything else is known.
 pub(crate) fn remember(net: &Net) {
     if let Some(known) = &net.config.known {
@@ -108,17 +54,18 @@
 pub(crate) async fn run(net: Rc<Net>) {
     let mut address = net.director.subscribe();
     let mut generation = net.config.known.as_ref().map(|known| known.generation);
-    let mut moved = false;
+    // Where the settings say that the list is pushed, the module never asks for the first one.
+    let mut at_once = !net.config.settings.list_on_request;
     loop {
         let at = *address.borrow_and_update();
         // Wherever the watch stands when the director moves (in a call, or waiting for the next),
         // it ends: the old one may close any moment, and what it tells is old.
         tokio::select! {
             _ = address.changed() => {}
-            () = watch(&net, at, &mut generation, moved) => {}
+            () = watch(&net, at, &mut generation, at_once) => {}
         }
         // The new one may number its lists differently: it is asked for the whole, at once.
-        (generation, moved) = (None, true);
+        (generation, at_once) = (None, true);
     }
 }
 
--- a/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -28,9 +28,9 @@
 use super::backends::{self, Fetch, Order};
 use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
 use super::{log, Net};
-use crate::facade::{Ending, Job, Micros, Req, Seen, Step};
-use crate::interface::Effect;
-use crate::wire;
+use oakshed_core::facade::{Ending, Job, Micros, Req, Seen, Step};
+use oakshed_core::interface::Effect;
+use oakshed_core::names;
 
 /// The largest body of a req.
 const LARGEST_BODY: usize = 64 << 10;
@@ -449,7 +449,7 @@
         slots: extra("slots"),
         memory: extra("memory"),
         // Where a path goes on after the class, it ends with what the req concerns.
-        key: key.map(wire::number_of),
+        key: key.map(names::number_of),
         hint: None,
         remaining: 0,
     };
--- a/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::Sleep;
 
 use crate::config::{self, Config};
-use crate::facade::{Facade, Micros, Seen, Step};
+use oakshed_core::facade::{Facade, Micros, Seen, Step};
 
 /// How long after SIGTERM the platform may still bring reqs that must be answered, whatever else: its
 /// front sends some for 0.4 s, and clients use their connections until these are closed.
@@ -136,7 +136,7 @@
         self.facade.borrow_mut().report(self.clock.now(), seen);
     }
 
-    pub(crate) async fn pick(&self, req: crate::facade::Req) -> Step {
+    pub(crate) async fn pick(&self, req: oakshed_core::facade::Req) -> Step {
         poll_fn(|cx| self.facade.borrow_mut().pick(req, cx.waker())).await
     }
 
--- a/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -1,13 +1,11 @@
 //! The program from outside: it is started, and spoken to over sockets. One test for each thing
 //! that its protocol promises, and for each failure found.
 
-mod peers;
-
 use std::io::{BufReader, Read, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
 
-use peers::*;
+use oakshed_standin::*;
 
 /// A backend that serves everything.
 fn good() -> Peer {
@@ -30,6 +28,18 @@
     assert!((1..=5_000).contains(&left), "{left}");
 }
 
+/// A first start knows no list, and the front brings no req before it is ready: it has to ask by itself.
+#[test]
+fn a_start_without_a_list_asks_for_it_at_once() {
+    let backend = good();
+    for membership in ["on_request", "push"] {
+        let director = Director::new(&[("s-1", backend.address)]);
+        let edits = [(r#""membership-mode":"on_request""#, &*format!(r#""membership-mode":"{membership}""#))];
+        let program = Program::start_knowing(&director, "null", 1024, &edits);
+        assert_eq!(program.ask(&req("transfer", "id-1")).status(), 200, "{membership}");
+    }
+}
+
 #[test]
 fn backend_connections_are_used_again() {
     let backend = good();
@@ -626,7 +636,7 @@
 fn a_value_that_cannot_be_used_is_named_in_one_line() {
     let path = config("127.0.0.1:9".parse().expect("an address"), "null", 1024);
     let run = |name: &str, value: &str| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_oakshed"));
+        let mut command = Command::new(Program::binary());
         let out = command.arg("check").env("ROUTER_CONFIG", &path).env(name, value).output().expect("run");
         (out.status.code(), String::from_utf8(out.stderr).expect("text"))
     };
--- a/tests/peers/mod.rs
+++ b/crates/standin/src/lib.rs
@@ -216,6 +216,13 @@
 }
 
 impl Program {
+    /// Where cargo puts the scheduler beside the tests that start it.
+    pub fn binary() -> std::path::PathBuf {
+        let test = std::env::current_exe().expect("this test's path");
+        let folder = test.ancestors().find(|p| p.join("oakshed").is_file()).expect("the program is built");
+        folder.join("oakshed")
+    }
+
     pub fn start(director: &Director) -> Program {
         Program::start_with(director, 1024, &[])
     }
@@ -223,14 +230,24 @@
     /// With fewer descriptors, or with parts of the settings replaced.
     pub fn start_with(director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
         let known = list(&director.told.0.lock().unwrap(), true, false);
-        let path = config(director.peer.address, &known, sockets);
+        Program::start_knowing(director, &known, sockets, edits)
+    }
+
+    /// With something else for the list as last held.
+    pub fn start_knowing(
+        director: &Director,
+        known: &str,
+        sockets: usize,
+        edits: &[(&str, &str)],
+    ) -> Program {
+        let path = config(director.peer.address, known, sockets);
         let text = std::fs::read_to_string(&path).expect("just written");
         let edit = |text: String, (from, to): &(&str, &str)| {
             assert!(text.contains(from), "{from} is not in the settings");
             text.replace(from, to)
         };
         std::fs::write(&path, edits.iter().fold(text, edit)).expect("written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_oakshed"))
+        let mut child = Command::new(Program::binary())
             .arg("serve")
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_DISCOVERY", director.peer.address.to_string())
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! The simulator's wire around the decisions, and the reader of its settings, which serves the real
+//! scheduler too.
+//!
+//! [`host`] plays many dispatchers over lines of JSON; [`settings`] reads what a dispatcher is told at
+//! its start. Nothing here decides, and nothing here knows of sockets.
+//!
+//! ```
+//! let boot = r#"{"balancers":2,"categories":[{"name":"transfer","aim-ms":400,"give-up-ms":6000,
+//!     "idempotency":"single_shot","importance":10}],"limits":{"max-attempts":4},
+//!     "obligations":{"cold-share":0.3,"fall-ms":2000,"fall-multiple":3,"ramp-time-ms":9000}}"#;
+//! let (settings, names) = oakshed_wire::settings_and_names(boot).unwrap();
+//! assert_eq!((settings.classes[0].aim, names.classes[0].as_str()), (400_000, "transfer"));
+//! ```
+#![warn(missing_docs)]
+
+pub mod host;
+pub mod settings;
+
+pub use host::{parse_request_id, serve};
+pub use settings::{micros, settings, settings_and_names, Names};
--- a/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -2,7 +2,7 @@
 
 use std::io::Cursor;
 
-use oakshed::wire::{parse_request_id, serve, settings};
+use oakshed_wire::{parse_request_id, serve, settings};
 
 const BOOT: &str = r#"{"az":0,"balancers":1,"categories":[{"aim-ms":400.0,"give-up-ms":6000.0,
 "idempotency":"free","importance":12.0},{"aim-ms":500,"give-up-ms":6000,"idempotency":"single_shot",
