Add the operator's file with its schema, structured logs, and a demo without a platform

Need: the coming subsystems are switched on by operators, in a file that is checked as a whole; logs are read by collectors; and a newcomer has no platform to try the program on.

Change: operator.rs (schemars makes the schema from the types, jsonschema names every fault by its pointer, the text is read once more for keys given twice); logging.rs on tracing, text as before or JSON, which survives a closed standard error; 'oakshed demo' with stand-in workers that speak leases, a ledger each, and a director.

--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -16,6 +16,7 @@
 use oakshed_wire::Names;
 
 use crate::list::Answer;
+use crate::operator::Operator;
 
 /// The fewest descriptors with which anything can be served.
 const LEAST_SOCKETS: usize = 64;
@@ -46,6 +47,8 @@
     pub settings: Settings,
     /// Names of classes, tenants, zones and machine kinds.
     pub names: Rc<Names>,
+    /// What the operators have switched on.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -69,8 +72,8 @@
 
 impl Config {
     /// Reads the environment (`var` looks a variable up) and the file that it names. A variable
-    /// counts before the same value in the file.
-    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    /// counts before the same value in the file. `operator` is the path of the operator's file.
+    pub fn read(var: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Config, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
         let wrong = |what: &dyn Display| format!("ROUTER_CONFIG {path}: {what}").replace('\n', " ");
         let text = std::fs::read_to_string(&path).map_err(|e| wrong(&e))?;
@@ -101,6 +104,7 @@
             known: known.transpose().map_err(|e| wrong(&format_args!("known: {e}")))?,
             settings,
             names: Rc::new(names),
+            operator: operator.map_or(Ok(Operator::default()), Operator::read)?,
         })
     }
 }
--- /dev/null
+++ b/crates/server/src/demo.rs
@@ -0,0 +1,117 @@
+//! A try without a platform: stand-ins of a director and a fleet, a scheduler, and some hundred jobs,
+//! all on loopback ports.
+//!
+//! It owns nothing that serves: the scheduler is the same program, started as a process of its own.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use oakshed_standin::{ask, config, req, Director, Message, Worker, WorkerOptions};
+
+const WORKERS: usize = 6;
+/// Between two jobs.
+const GAP: Duration = Duration::from_millis(5);
+/// How long the scheduler may take until it is ready.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Ends the scheduler where the demo ends early.
+struct Scheduler(Child, std::path::PathBuf);
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        _ = self.0.kill();
+        _ = self.0.wait();
+        _ = std::fs::remove_file(&self.1);
+    }
+}
+
+/// Plays the demo; where `once` is not set, leaves all running until the scheduler is stopped.
+pub fn run(jobs: usize, once: bool) -> io::Result<()> {
+    let fleet: Vec<Worker> =
+        (0..WORKERS).map(|_| Worker::start(WorkerOptions::default())).collect::<io::Result<_>>()?;
+    let names: Vec<String> = (0..WORKERS).map(|n| format!("s-{n}")).collect();
+    let entries: Vec<(&str, SocketAddr)> =
+        names.iter().map(String::as_str).zip(fleet.iter().map(|w| w.address)).collect();
+    let director = Director::new(&entries);
+    // A port that is free now: the scheduler takes it in a moment.
+    let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let path = config(director.peer.address, "null", 1024);
+    let child = Command::new(std::env::current_exe()?)
+        .arg("serve")
+        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_LISTEN", address.to_string())
+        .env("ROUTER_DISCOVERY", director.peer.address.to_string())
+        .stdin(Stdio::null())
+        .spawn()?;
+    let mut scheduler = Scheduler(child, path);
+    println!("{WORKERS} workers, a director at {}, a scheduler at {address}", director.peer.address);
+    let start = Instant::now();
+    while ask(address, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|m| m.status() != 200) {
+        if start.elapsed() > PATIENCE {
+            return Err(io::Error::other("the scheduler does not become ready"));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    play(address, jobs)?;
+    if once {
+        terminate(&mut scheduler)?;
+        return Ok(());
+    }
+    println!("\nIt goes on until Ctrl-C. Try it:");
+    println!("  curl -i -d body -H 'Req-Id: try-1' -H 'Req-Owner: storholt-bilar' http://{address}/transfer");
+    // Ctrl-C goes to both: the scheduler ends in order, and this with it.
+    let ended = scheduler.0.wait()?;
+    println!("the scheduler ended: {ended}");
+    Ok(())
+}
+
+fn terminate(scheduler: &mut Scheduler) -> io::Result<()> {
+    Command::new("kill").arg(scheduler.0.id().to_string()).status()?;
+    let ended = scheduler.0.wait()?;
+    if ended.success() {
+        return Ok(());
+    }
+    Err(io::Error::other(format!("the scheduler ended: {ended}")))
+}
+
+/// Sends jobs at a steady rate, whether or not earlier ones are answered, and tells what became of them.
+fn play(address: SocketAddr, jobs: usize) -> io::Result<()> {
+    let (tx, rx) = mpsc::channel();
+    let start = Instant::now();
+    let (mut served, mut refused, mut failed, mut times) = (0, 0, 0, Vec::new());
+    let mut take = |(answer, time): (Option<Message>, Duration)| match answer.map(|m| m.status()) {
+        Some(200) => {
+            served += 1;
+            times.push(time);
+        }
+        Some(429 | 503) => refused += 1,
+        _ => failed += 1,
+    };
+    for n in 0..jobs {
+        let planned = start + GAP * n as u32;
+        std::thread::sleep(planned.saturating_duration_since(Instant::now()));
+        let (tx, class) = (tx.clone(), if n % 3 == 0 { "new-plate" } else { "transfer" });
+        std::thread::spawn(move || {
+            let answer = ask(address, &req(class, &format!("demo-{n}")));
+            _ = tx.send((answer, planned.elapsed()));
+        });
+        rx.try_iter().for_each(&mut take);
+        print!("\r{} of {jobs} jobs sent", n + 1);
+        io::stdout().flush()?;
+    }
+    drop(tx);
+    rx.iter().for_each(&mut take);
+    println!();
+    times.sort();
+    let at = |part: f64| times.get(((times.len() as f64 * part) as usize).min(times.len().max(1) - 1));
+    let ms = |time: Option<&Duration>| time.map_or(0.0, |t| t.as_secs_f64() * 1e3);
+    println!(
+        "served {served}, refused {refused}, failed {failed}; p50 {:.1} ms, p99 {:.1} ms",
+        ms(at(0.5)),
+        ms(at(0.99))
+    );
+    Ok(())
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,10 +3,15 @@
 //! It owns the sub-commands and the exit status: 0 after a stop in order, 1 where the program
 //! cannot start or go on. It must never hold anything that serving needs.
 
+use std::io::Write as _;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use oakshed::config::Config;
+use oakshed::logging::{self, Format};
+use oakshed::operator::{self, Operator};
+
+mod demo;
 
 /// A scheduler that hands registration jobs to workers in tiers.
 #[derive(FromArgs)]
@@ -20,18 +25,48 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Schema(Schema),
+    Demo(Demo),
     Version(Version),
 }
 
 /// serve until SIGTERM, as the ROUTER_* variables say
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// the operator's file; without it, all that it could switch on is off
+    #[argh(option)]
+    operator: Option<String>,
+    /// form of the log: text or json
+    #[argh(option, default = "Format::Text")]
+    log_format: Format,
+}
 
 /// read the ROUTER_* variables and the file, say what they hold, and end
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
-struct Check {}
+struct Check {
+    /// the operator's file, which is checked too; alone where ROUTER_CONFIG is not set
+    #[argh(option)]
+    operator: Option<String>,
+}
+
+/// print the schema of the operator's file
+#[derive(FromArgs)]
+#[argh(subcommand, name = "schema")]
+struct Schema {}
+
+/// start stand-ins and a scheduler on loopback, send jobs, and leave it running until Ctrl-C
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {
+    /// jobs to send
+    #[argh(option, default = "400")]
+    jobs: usize,
+    /// end after these
+    #[argh(switch)]
+    once: bool,
+}
 
 /// print the version
 #[derive(FromArgs)]
@@ -44,30 +79,50 @@
             println!("oakshed {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check(_) => config().map(|c| {
-            println!(
-                "{}: listens on {}, director {}, {} classes, {} tenants, {} sockets",
-                c.name,
-                c.listen,
-                c.director,
-                c.names.classes.len(),
-                c.names.tenants.len(),
-                c.sockets
-            );
-        }),
-        Command::Serve(_) => config().and_then(|c| serve(c).map_err(|e| e.to_string())),
+        Command::Check(check) => self::check(check.operator.as_deref()),
+        Command::Schema(_) => {
+            print!("{}", operator::schema());
+            Ok(())
+        }
+        Command::Demo(Demo { jobs, once }) => demo::run(jobs, once).map_err(|e| e.to_string()),
+        Command::Serve(Serve { operator, log_format }) => {
+            logging::start(log_format);
+            config(operator.as_deref()).and_then(|c| serve(c).map_err(|e| e.to_string()))
+        }
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("oakshed: {why}");
+            // The one line that also comes where the log was never started.
+            _ = writeln!(std::io::stderr(), "oakshed: {why}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn config() -> Result<Config, String> {
-    Config::read(|name| std::env::var(name).ok())
+fn config(operator: Option<&str>) -> Result<Config, String> {
+    Config::read(|name| std::env::var(name).ok(), operator)
+}
+
+fn check(operator: Option<&str>) -> Result<(), String> {
+    if let Some(path) = operator {
+        let read = Operator::read(path)?;
+        println!("operator file {path}: durable jobs {}", if read.jobs.is_some() { "on" } else { "off" });
+        if std::env::var_os("ROUTER_CONFIG").is_none() {
+            return Ok(());
+        }
+    }
+    let c = config(operator)?;
+    println!(
+        "{}: listens on {}, director {}, {} classes, {} tenants, {} sockets",
+        c.name,
+        c.listen,
+        c.director,
+        c.names.classes.len(),
+        c.names.tenants.len(),
+        c.sockets
+    );
+    Ok(())
 }
 
 fn serve(config: Config) -> std::io::Result<()> {
--- a/crates/server/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -12,9 +12,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{header::HOST, Request, StatusCode};
+use tracing::{info, warn};
 
 use super::backends::Link;
-use super::{log, Net};
+use super::Net;
 use crate::list::Answer;
 use oakshed_core::facade::{Entry, ListKind, Seen};
 
@@ -46,7 +47,7 @@
     net.report(Seen::List(kind, &entries));
     if !entries.is_empty() {
         let (number, ready) = (answer.generation, net.backends.ready_count());
-        log!("list {number} ({kind:?}): {} entries, {ready} backends ready", entries.len());
+        info!(number, ready, "list {number} ({kind:?}): {} entries, {ready} backends ready", entries.len());
     }
 }
 
@@ -95,7 +96,7 @@
         // A connection on which a call has failed may carry its answer yet.
         link = None;
         net.count(|c| &mut c.director_failures);
-        log!("director: {failure}");
+        warn!("director: {failure}");
         net.report(Seen::List(ListKind::Refused, &[]));
     }
 }
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -24,10 +24,11 @@
 use rustc_hash::FxHashSet;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
+use tracing::warn;
 
 use super::backends::{self, Fetch, Order};
 use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
-use super::{log, Net};
+use super::Net;
 use oakshed_core::facade::{Ending, Job, Micros, Req, Seen, Step};
 use oakshed_core::interface::Effect;
 use oakshed_core::names;
@@ -176,7 +177,7 @@
                 net.count(|c| &mut c.accept_errors);
                 let errors = net.counters.borrow().accept_errors;
                 if errors.is_power_of_two() {
-                    log!("accept failed for the {errors}. time: {e}");
+                    warn!(errors, "accept failed for the {errors}. time: {e}");
                 }
                 net.backends.close_oldest();
                 clients.close_one(net.clock.now());
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -21,6 +21,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::time::Sleep;
+use tracing::{info, warn};
 
 use crate::config::{self, Config};
 use oakshed_core::facade::{Facade, Micros, Seen, Step};
@@ -39,16 +40,6 @@
 /// listener, the director, and what is on its way from closed to gone.
 const RESERVED_SOCKETS: usize = 32;
 
-/// Writes one line to the log. Guards against a log that nobody reads any more: `eprintln!` would
-/// end the program.
-macro_rules! log {
-    ($($arg:tt)*) => {{
-        use std::io::Write as _;
-        _ = writeln!(std::io::stderr().lock(), "oakshed: {}", format_args!($($arg)*));
-    }};
-}
-pub(crate) use log;
-
 /// Unix time in microseconds as of the start, going on with the monotonic clock: the director's
 /// start times fit in, and it never runs backwards.
 #[derive(Clone, Copy)]
@@ -185,13 +176,8 @@
         open: front::Open::default(),
         config,
     });
-    log!(
-        "{} listens on {}, director {}, {} sockets",
-        net.config.name,
-        listener.local_addr()?,
-        net.config.director,
-        net.config.sockets
-    );
+    let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
+    info!(%listen, %director, sockets, "{name} listens on {listen}, director {director}, {sockets} sockets");
     director::remember(&net);
     net.ready.set(true);
     tokio::task::spawn_local(run_timer(net.clone()));
@@ -201,7 +187,7 @@
     tokio::task::spawn_local(reload_when_told(net.clone(), hangup));
     tokio::task::spawn_local(stop_when_told(net.clone(), term, int));
     front::run(&net, listener).await;
-    log!("stopped: {}", summary(&net));
+    info!("stopped: {}", summary(&net));
     Ok(())
 }
 
@@ -236,17 +222,17 @@
 async fn reload_when_told(net: Rc<Net>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         let var = |name: &str| std::env::var(name).ok().filter(|_| name != config::DISCOVERY);
-        let new = match Config::read(var) {
+        let new = match Config::read(var, None) {
             Ok(new) => new,
             Err(why) => {
-                log!("reload: {why}; going on as before");
+                warn!("reload: {why}; going on as before");
                 continue;
             }
         };
         let old = &net.config;
         let kept = (new.listen, new.sockets, &new.settings) == (old.listen, old.sockets, &old.settings);
         let rest = if kept { "" } else { "; what else has changed needs a restart" };
-        log!("reload: director {}{rest}", new.director);
+        info!(director = %new.director, "reload: director {}{rest}", new.director);
         net.director.send_if_modified(|at| std::mem::replace(at, new.director) != new.director);
     }
 }
@@ -259,9 +245,10 @@
     let kill = longest.min(LONGEST_STOP) + STOP_MARGIN;
     let (now, linger) = (net.clock.now(), (kill / 2).max(LINGER));
     net.stop.set(Some((now + LINGER / 2, now + kill.saturating_sub(BEFORE_KILL))));
-    log!("told to stop: serving on for {} ms", linger / 1_000);
+    info!("told to stop: serving on for {} ms", linger / 1_000);
     tokio::time::sleep(Duration::from_micros(linger)).await;
-    log!("closing: {} reqs are owed an answer", net.facade.borrow().owed());
+    let owed = net.facade.borrow().owed();
+    info!(owed, "closing: {owed} reqs are owed an answer");
     net.closing.send_replace(true);
 }
 
@@ -275,7 +262,7 @@
         tokio::time::sleep(LOG_EVERY).await;
         let now = summary(&net);
         if now != last {
-            log!("counts: {now}");
+            info!("counts: {now}");
             last = now;
         }
     }
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -650,3 +650,46 @@
     }
     _ = std::fs::remove_file(path);
 }
+
+/// Guards against a log that nobody reads any more: telling of that on standard error would end it.
+#[test]
+fn the_log_is_json_where_wanted_and_its_loss_ends_nothing() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let path = config(director.peer.address, "null", 1024);
+    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("it");
+    let mut child = Command::new(Program::binary())
+        .args(["serve", "--log-format", "json"])
+        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_LISTEN", listen.to_string())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("started");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
+    assert!(line.starts_with('{') && line.contains(r#""sockets":1024"#), "{line}");
+    drop(log);
+    let ready = || ask(listen, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200);
+    until("ready", ready);
+    director.set("s-1", "draining");
+    until("the news, which it logs", || !ready());
+    assert!(Command::new("kill").arg(child.id().to_string()).status().expect("kill runs").success());
+    assert!(child.wait().expect("its end").success());
+    _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn an_operator_file_that_cannot_be_used_stops_the_start() {
+    let path = std::env::temp_dir().join(format!("oakshed-operator-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"jobs":{"dir":"/x","lease_ms":1},"jbos":1}"#).expect("written");
+    let told = Command::new(Program::binary())
+        .args(["check", "--operator", path.to_str().expect("a path")])
+        .env_remove("ROUTER_CONFIG")
+        .output()
+        .expect("run");
+    let text = String::from_utf8_lossy(&told.stderr);
+    assert_eq!(told.status.code(), Some(1), "{text}");
+    assert!(text.contains("/jobs/lease_ms") && text.contains("jbos"), "{text}");
+    _ = std::fs::remove_file(path);
+}
--- /dev/null
+++ b/crates/standin/src/ledger.rs
@@ -0,0 +1,182 @@
+//! What a stand-in worker has promised, begun and finished, job by job, and the file that outlives it.
+//!
+//! It owns the worker's side of docs/leases.md: which token may start, and what a fence is answered.
+//! It must never let a job start before the start is on disk, nor say `never` of what may have begun.
+
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Seek, Write};
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// One line of the file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "lowercase")]
+pub enum Line {
+    /// The memory begins here, in Unix time milliseconds.
+    Since {
+        /// The time.
+        ms: u64,
+    },
+    /// A job starts under this token.
+    Start {
+        /// The job, or its req's id where it came without a lease.
+        job: String,
+        /// The token.
+        token: u64,
+    },
+    /// It ended with a result.
+    Done {
+        /// The job.
+        job: String,
+        /// Its result.
+        result: String,
+    },
+    /// No token up to this one will start.
+    Fence {
+        /// The job.
+        job: String,
+        /// The token.
+        token: u64,
+    },
+}
+
+/// The answer to a fence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Not started, and it never will be.
+    Never,
+    /// It runs.
+    Running,
+    /// It ended with this result.
+    Done(String),
+    /// It started, and no result will come.
+    Failed,
+}
+
+#[derive(Default)]
+struct Job {
+    started: Option<u64>,
+    /// It started in this life of the worker.
+    alive: bool,
+    fenced: u64,
+    result: Option<String>,
+}
+
+/// The memory of one worker.
+pub struct Ledger {
+    file: Option<File>,
+    since_ms: u64,
+    jobs: HashMap<String, Job>,
+}
+
+/// Unix time in milliseconds.
+pub(crate) fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Ledger {
+    /// Opens the file, if there is one to be, and reads back what an earlier life has left. A line cut
+    /// short by a crash was never acted on and is dropped.
+    pub fn open(path: Option<&Path>) -> std::io::Result<Ledger> {
+        let mut ledger = Ledger { file: None, since_ms: now_ms(), jobs: HashMap::new() };
+        let Some(path) = path else { return Ok(ledger) };
+        let mut file = OpenOptions::new().create(true).truncate(false).read(true).write(true).open(path)?;
+        let mut good = 0;
+        let mut reader = BufReader::new(&file);
+        let mut text = String::new();
+        while reader.read_line(&mut text)? > 0 {
+            let Ok(line) = serde_json::from_str::<Line>(&text) else { break };
+            if !text.ends_with('\n') {
+                break;
+            }
+            good += text.len() as u64;
+            ledger.replay(line);
+            text.clear();
+        }
+        file.set_len(good)?;
+        file.seek(std::io::SeekFrom::Start(good))?;
+        ledger.file = Some(file);
+        if good == 0 {
+            ledger.write(&Line::Since { ms: ledger.since_ms })?;
+        }
+        Ok(ledger)
+    }
+
+    fn replay(&mut self, line: Line) {
+        let jobs = &mut self.jobs;
+        match line {
+            Line::Since { ms } => self.since_ms = ms,
+            Line::Start { job, token } => jobs.entry(job).or_default().started = Some(token),
+            Line::Done { job, result } => jobs.entry(job).or_default().result = Some(result),
+            Line::Fence { job, token } => jobs.entry(job).or_default().fenced = token,
+        }
+    }
+
+    fn write(&mut self, line: &Line) -> std::io::Result<()> {
+        let Some(file) = &mut self.file else { return Ok(()) };
+        file.write_all((serde_json::to_string(line)? + "\n").as_bytes())?;
+        file.sync_data()
+    }
+
+    /// Since when nothing was forgotten.
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+
+    /// A job is about to start; tells whether it may. A token that is fenced may not, nor may a job that
+    /// has started under another one.
+    pub fn start(&mut self, id: &str, token: u64) -> std::io::Result<bool> {
+        let job = self.jobs.entry(id.to_owned()).or_default();
+        if token <= job.fenced || job.started.is_some() {
+            return Ok(false);
+        }
+        (job.started, job.alive) = (Some(token), true);
+        self.write(&Line::Start { job: id.to_owned(), token })?;
+        Ok(true)
+    }
+
+    /// A job has ended; its result is kept until it is safe elsewhere.
+    pub fn done(&mut self, id: &str, result: &str) -> std::io::Result<()> {
+        self.write(&Line::Done { job: id.to_owned(), result: result.to_owned() })?;
+        self.jobs.entry(id.to_owned()).or_default().result = Some(result.to_owned());
+        Ok(())
+    }
+
+    /// Answers a fence; from `never` on, nothing up to the token starts.
+    pub fn fence(&mut self, id: &str, token: u64) -> std::io::Result<Word> {
+        let job = self.jobs.entry(id.to_owned()).or_default();
+        Ok(match (job.started.filter(|&t| t <= token), &job.result) {
+            (Some(_), Some(result)) => Word::Done(result.clone()),
+            (Some(_), None) if job.alive => Word::Running,
+            (Some(_), None) => Word::Failed,
+            (None, _) => {
+                job.fenced = job.fenced.max(token);
+                self.write(&Line::Fence { job: id.to_owned(), token })?;
+                Word::Never
+            }
+        })
+    }
+
+    /// The result is safe: it need not be kept. The start stays known, so that a late copy is declined.
+    pub fn safe(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.result = job.result.take().map(|_| String::new());
+        }
+    }
+
+    /// How often each job was started, by the files of all workers: the proof of what ran twice.
+    pub fn starts<'a>(paths: impl IntoIterator<Item = &'a Path>) -> std::io::Result<HashMap<String, usize>> {
+        let mut starts = HashMap::new();
+        for path in paths {
+            for line in BufReader::new(File::open(path)?).lines() {
+                if let Ok(Line::Start { job, .. }) = serde_json::from_str(&line?) {
+                    *starts.entry(job).or_default() += 1;
+                }
+            }
+        }
+        Ok(starts)
+    }
+}
