--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -92,8 +92,9 @@
         self.now = now;
         match event {
             Event::List { kind, rows } => self.on_list(kind, rows),
-            Event::Request { id, class, tenant, slots, memory, key, hint, remaining } => {
-                let r = Request::new(class, slots, memory, key, hint);
+            Event::Request { id, class, tenant, slots, memory, key, hint, remaining, earlier } => {
+                let mut r = Request::new(class, slots, memory, key, hint);
+                r.attempts = self.inherit(earlier);
                 self.on_request(id, r, tenant as usize, remaining)
             }
             Event::Started { id, attempt } => self.on_started(id, attempt as usize),
@@ -249,7 +250,9 @@
         let latest = r.aim_at.saturating_sub(kept as Micros + 2 * self.settings.tick);
         r.leave_by = latest.max(first_try + c.aim / 4).min(r.deadline.saturating_sub(2 * self.settings.tick));
         r.tier = belief.tier + if beyond { self.tiers.len() / 2 } else { 0 };
-        let refused = r.tier + 1 == self.tiers.len() && self.too_many_held(r.leave_by);
+        // What may have run in a past life of the caller, and may not run again, has its answer at once.
+        let over = !r.attempts.is_empty() && !self.may_resend(&r);
+        let refused = over || r.tier + 1 == self.tiers.len() && self.too_many_held(r.leave_by);
         self.requests.insert(id, r);
         self.enqueue(id);
         if refused {
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -12,7 +12,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::interface::{Action, Event, RequestId, Row, WorkerId};
+use crate::interface::{Action, Earlier, Event, RequestId, Row, WorkerId};
 pub use crate::interface::{Condition, Ending, ListKind, Micros, Report, Settings, SettingsError};
 use crate::names::worker_id;
 use crate::Dispatcher;
@@ -190,17 +190,25 @@
 
     /// Takes a req in: from here on it is owed one final answer, which `pick` will give.
     pub fn take(&mut self, now: Micros, job: &Job) -> Req {
+        self.take_again(now, job, &[])
+    }
+
+    /// Takes a req in that an earlier life of the program has tried: `earlier` names the backends where
+    /// it may have run, and how long ago each fetch was sent. Fetches are numbered on from these.
+    pub fn take_again(&mut self, now: Micros, job: &Job, earlier: &[(Rc<str>, Micros)]) -> Req {
         self.last += 1;
         self.tally.taken += 1;
         let open = Open {
             steps: VecDeque::new(),
             waker: None,
-            fetches: Vec::new(),
+            fetches: vec![None; earlier.len()],
             deadline: now + job.remaining,
             over: false,
             closed: false,
         };
         self.reqs.insert(self.last, open);
+        let earlier: Vec<Earlier> =
+            earlier.iter().map(|(backend, ago)| Earlier { worker: worker_id(backend), ago: *ago }).collect();
         let event = Event::Request {
             id: RequestId(self.last.into()),
             class: job.class,
@@ -210,6 +218,7 @@
             key: job.key,
             hint: job.hint,
             remaining: job.remaining,
+            earlier: &earlier,
         };
         let req = Req(self.last);
         self.feed(now, event);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -252,6 +252,15 @@
     pub backlog: Option<f64>,
 }
 
+/// An attempt made before the dispatcher knew the request; it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Earlier {
+    /// The worker, which may be listed no more.
+    pub worker: WorkerId,
+    /// How long ago it was sent.
+    pub ago: Micros,
+}
+
 /// Something that happened.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event<'a> {
@@ -280,6 +289,9 @@
         hint: Option<Micros>,
         /// Time left before the client gives up this try.
         remaining: Micros,
+        /// Attempts of a past life of the caller that may have run, in order. They count as this
+        /// request's first ones, and have ended.
+        earlier: &'a [Earlier],
     },
     /// An attempt started to run.
     Started {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 //! let id = RequestId(42);
 //! dispatcher.on_event(1_000, Event::Request {
 //!     id, class: 0, tenant: 0, slots: 1.0, memory: 0.0, key: None, hint: None, remaining: 5_000_000,
+//!     earlier: &[],
 //! });
 //! let mut actions = Vec::new();
 //! dispatcher.dispatch(1_000, &mut actions);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -301,6 +301,27 @@
         self.out = (self.out + by).max(0.0);
     }
 
+    /// Attempts of a past life, as ended ones that may have run. A worker that is listed no more gets a
+    /// place of its own, in nobody's group.
+    pub(crate) fn inherit(&mut self, earlier: &[Earlier]) -> Vec<Attempt> {
+        let ended = |e: &Earlier| {
+            let unlisted = Row {
+                worker: e.worker,
+                zone: u32::MAX,
+                kind: u32::MAX,
+                cell: u32::MAX,
+                condition: Condition::Left,
+                online_since: 0,
+            };
+            let known = self.index.get(&e.worker).copied();
+            let worker = known.unwrap_or_else(|| self.enter(&unlisted).0);
+            let sent = self.now.saturating_sub(e.ago);
+            let (open, astray, may_have_run) = (false, false, true);
+            Attempt { worker, sent, started: None, heard: sent, open, astray, may_have_run }
+        };
+        earlier.iter().map(ended).collect()
+    }
+
     /// Records an attempt; tells the request's class.
     pub(crate) fn open_attempt(&mut self, id: RequestId, w: usize) -> Option<usize> {
         let r = self.requests.get_mut(&id)?;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -69,6 +69,11 @@
     }
 
     pub fn wide_request(&mut self, class: u32, slots: f64) -> (RequestId, Vec<Action>) {
+        self.request_after(class, slots, &[])
+    }
+
+    /// A request that a past life has tried.
+    pub fn request_after(&mut self, class: u32, slots: f64, earlier: &[Earlier]) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let id = RequestId(self.next);
         let remaining = 5_000 * MS;
@@ -81,6 +86,7 @@
             key: None,
             hint: None,
             remaining,
+            earlier,
         });
         (id, actions)
     }
--- /dev/null
+++ b/crates/core/tests/earlier.rs
@@ -0,0 +1,28 @@
+//! Jobs that a past life has tried: what may have run counts as an attempt.
+
+mod common;
+
+use common::*;
+use oakshed_core::interface::*;
+
+#[test]
+fn what_may_have_run_is_sent_again_only_where_the_class_allows_it() {
+    for (effect, window, ago, again) in [
+        (Effect::Safe, 0, 10_000_000, true),
+        (Effect::Unsafe, 0, 10, false),
+        (Effect::Keyed, 7_500_000, 10, true),
+        (Effect::Keyed, 7_500_000, 7_400_000, false),
+        (Effect::Keyed, 7_500_000, 100_000_000, false),
+    ] {
+        let mut settings = settings();
+        (settings.classes[0].effect, settings.classes[0].window) = (effect, window);
+        settings.classes[0].scope = Scope::All;
+        let mut bench = Bench::new(settings, 6);
+        bench.now += 200_000_000;
+        let (_, actions) = bench.request_after(0, 1.0, &[Earlier { worker: WorkerId(77), ago }]);
+        let sent = actions.iter().any(|a| matches!(a, Action::Send { .. }));
+        assert_eq!(sent, again, "{effect:?} after {ago}: {actions:?}");
+        let failed = actions.iter().any(|a| matches!(a, Action::Fail { .. }));
+        assert_eq!(failed, effect == Effect::Unsafe, "{actions:?}");
+    }
+}
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -309,6 +309,7 @@
                     key: None,
                     hint: None,
                     remaining: 5_000 * MS,
+                    earlier: &[],
                 },
             );
             let mut actions = Vec::new();
@@ -401,7 +402,17 @@
             let (class, slots, memory, key, hint) = (0, 1.0, 0.0, Some(77), None);
             d.on_event(
                 now,
-                Event::Request { id, class, tenant: 0, slots, memory, key, hint, remaining: 5_000 * MS },
+                Event::Request {
+                    id,
+                    class,
+                    tenant: 0,
+                    slots,
+                    memory,
+                    key,
+                    hint,
+                    remaining: 5_000 * MS,
+                    earlier: &[],
+                },
             );
             let mut actions = Vec::new();
             d.dispatch(now, &mut actions);
@@ -424,7 +435,17 @@
         let mut bench = Bench::new(settings(), 0);
         let (id, remaining) = (RequestId(1), 5_000 * MS);
         let (class, slots, memory, key, hint) = (1, 1.0, 0.0, None, Some(hint));
-        bench.event(Event::Request { id, class, tenant: 0, slots, memory, key, hint, remaining });
+        bench.event(Event::Request {
+            id,
+            class,
+            tenant: 0,
+            slots,
+            memory,
+            key,
+            hint,
+            remaining,
+            earlier: &[],
+        });
         let start = bench.now;
         while !refused(&bench.wait(10 * MS), id) {
             assert!(bench.now < start + remaining, "never refused");
@@ -524,7 +545,17 @@
     for n in 0..3u32 {
         let id = RequestId(9_000 + u128::from(n));
         let (class, slots, memory, key, hint, remaining) = (1, 1.0, 0.0, None, None, 5_000 * MS);
-        bench.event(Event::Request { id, class, tenant: 1, slots, memory, key, hint, remaining });
+        bench.event(Event::Request {
+            id,
+            class,
+            tenant: 1,
+            slots,
+            memory,
+            key,
+            hint,
+            remaining,
+            earlier: &[],
+        });
         of_other.push(id);
     }
     let before = bench.actions.len();
@@ -653,7 +684,7 @@
         let (slots, memory, remaining) = (1.0, 0.0, 5_000 * MS);
         let (class, tenant, key, hint) = (0, 0, Some(key * 7_919), None);
         bench.now += 10 * MS;
-        let request = Event::Request { id, class, tenant, slots, memory, key, hint, remaining };
+        let request = Event::Request { id, class, tenant, slots, memory, key, hint, remaining, earlier: &[] };
         let Some(WorkerId(worker)) = sent(&bench.event(request), id) else { panic!("held") };
         jobs[worker as usize] += 1;
         bench.started(id, 0);
@@ -671,7 +702,8 @@
         let ask = |bench: &mut Bench, n: u128, hint: Micros| {
             let (id, class, tenant, slots, memory) = (RequestId(n), 0, 0, 1.0, 0.0);
             let (key, hint, remaining) = (None, Some(hint), 5_000 * MS);
-            let request = Event::Request { id, class, tenant, slots, memory, key, hint, remaining };
+            let request =
+                Event::Request { id, class, tenant, slots, memory, key, hint, remaining, earlier: &[] };
             (id, bench.event(request))
         };
         for n in 0..400u128 {
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -207,6 +207,7 @@
                     key: None,
                     hint: None,
                     remaining,
+                    earlier: &[],
                 });
             }
             Step::Settle(pick, ending) => {
--- /dev/null
+++ b/crates/jobs/src/disk.rs
@@ -0,0 +1,95 @@
+//! The log's directory on a real disk.
+//!
+//! It owns the lock that keeps a second process out, and the blocks taken ahead. It must never leave a
+//! name in the directory that would not survive the machine.
+
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::os::unix::fs::{FileExt, OpenOptionsExt};
+use std::path::{Path, PathBuf};
+
+use rustix::fs::{fallocate, flock, FallocateFlags, FlockOperation};
+
+use crate::log::Files;
+
+/// A directory that this process has for itself.
+pub struct Disk {
+    path: PathBuf,
+    folder: File,
+    _lock: Option<File>,
+}
+
+impl Disk {
+    /// Takes a directory for this process, making it where there is none.
+    pub fn lock(path: &Path) -> io::Result<Disk> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .mode(0o600)
+            .open(path.join("lock"))?;
+        flock(&lock, FlockOperation::NonBlockingLockExclusive)
+            .map_err(|_| io::Error::other("another process uses this directory"))?;
+        let folder = File::open(path)?;
+        folder.sync_all()?;
+        Ok(Disk { path: path.to_owned(), folder, _lock: Some(lock) })
+    }
+
+    /// Looks into a directory without taking it: for reading only.
+    pub fn look(path: &Path) -> io::Result<Disk> {
+        Ok(Disk { path: path.to_owned(), folder: File::open(path)?, _lock: None })
+    }
+}
+
+impl Files for Disk {
+    type File = File;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let names =
+            fs::read_dir(&self.path)?.map(|entry| Ok(entry?.file_name().into_string().unwrap_or_default()));
+        names.collect()
+    }
+
+    fn open(&self, name: &str) -> io::Result<File> {
+        OpenOptions::new().write(true).open(self.path.join(name))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn create(&self, name: &str, size: usize) -> io::Result<()> {
+        let path = self.path.join(name);
+        let file = OpenOptions::new().create(true).truncate(true).write(true).mode(0o600).open(path)?;
+        match fallocate(&file, FallocateFlags::empty(), 0, size as u64) {
+            Err(rustix::io::Errno::OPNOTSUPP | rustix::io::Errno::NOSYS) => {
+                let zeros = vec![0; 1 << 20];
+                for at in (0..size).step_by(zeros.len()) {
+                    file.write_all_at(&zeros[..zeros.len().min(size - at)], at as u64)?;
+                }
+            }
+            done => done?,
+        }
+        file.sync_all()?;
+        self.folder.sync_all()
+    }
+
+    fn write(&self, file: &File, at: usize, bytes: &[u8]) -> io::Result<()> {
+        file.write_all_at(bytes, at as u64)
+    }
+
+    fn sync(&self, file: &File) -> io::Result<()> {
+        file.sync_data()
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))?;
+        self.folder.sync_all()
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))?;
+        self.folder.sync_all()
+    }
+}
--- a/crates/wire/src/host.rs
+++ b/crates/wire/src/host.rs
@@ -269,6 +269,7 @@
                 key: line.key,
                 hint: line.hint.map(micros).filter(|&h| h > 0),
                 remaining: micros(line.remaining.ok_or_else(|| need("remaining-ms"))?),
+                earlier: &[],
             },
             "INTERIM" => match line.topic {
                 Some(1) => Event::Started { id: id()?, attempt: trial()? },
