--- a/crates/jobs/src/fault.rs
+++ b/crates/jobs/src/fault.rs
@@ -27,6 +27,8 @@
     /// Files that may be made yet.
     room: Option<usize>,
     fail_sync: bool,
+    /// Operations until the machine stops; it has stopped at 0.
+    left: Option<u32>,
 }
 
 /// The directory; clones share it, as lives of a program do.
@@ -37,6 +39,7 @@
     /// The machine stops: each sector that was not synced is kept, or lost, by chance.
     pub fn crash(&self, rng: &mut fastrand::Rng) {
         self.0.borrow_mut().fail_sync = false;
+        self.0.borrow_mut().left = None;
         for image in self.0.borrow().files.values() {
             let image = &mut *image.borrow_mut();
             for (from, to) in std::mem::take(&mut image.dirty) {
@@ -56,6 +59,28 @@
         self.0.borrow_mut().fail_sync = true;
     }
 
+    /// After so many further operations the machine stops: nothing works until [`Faulty::crash`] has
+    /// said what is left.
+    pub fn stop_after(&self, operations: u32) {
+        self.0.borrow_mut().left = Some(operations);
+    }
+
+    /// Whether it has stopped.
+    pub fn has_stopped(&self) -> bool {
+        self.0.borrow().left == Some(0)
+    }
+
+    fn operate(&self) -> io::Result<()> {
+        match &mut self.0.borrow_mut().left {
+            Some(0) => Err(io::Error::other("the machine has stopped")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     /// So many files can be made yet; `None`: any number.
     pub fn set_room(&self, room: Option<usize>) {
         self.0.borrow_mut().room = room;
@@ -92,6 +117,7 @@
     }
 
     fn create(&self, name: &str, size: usize) -> io::Result<()> {
+        self.operate()?;
         let mut state = self.0.borrow_mut();
         if let Some(room) = &mut state.room {
             *room = room.checked_sub(1).ok_or(io::ErrorKind::StorageFull)?;
@@ -102,6 +128,7 @@
     }
 
     fn write(&self, file: &Self::File, at: usize, bytes: &[u8]) -> io::Result<()> {
+        self.operate()?;
         let handle = file;
         let image = &mut *handle.0.borrow_mut();
         image.present[at..at + bytes.len()].copy_from_slice(bytes);
@@ -110,6 +137,7 @@
     }
 
     fn sync(&self, file: &Self::File) -> io::Result<()> {
+        self.operate()?;
         let handle = file;
         let image = &mut *handle.0.borrow_mut();
         let dirty = std::mem::take(&mut image.dirty);
@@ -123,6 +151,7 @@
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.operate()?;
         let mut state = self.0.borrow_mut();
         let image = state.files.remove(from).ok_or_else(missing)?;
         state.files.insert(to.to_owned(), image);
@@ -130,6 +159,7 @@
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
+        self.operate()?;
         let mut state = self.0.borrow_mut();
         state.files.remove(name).ok_or_else(missing)?;
         if let Some(room) = &mut state.room {
--- a/crates/jobs/src/log.rs
+++ b/crates/jobs/src/log.rs
@@ -267,12 +267,17 @@
         if segments.last() == Some(&next) {
             files.remove(&name(next)).map_err(io("removing an empty file"))?;
             segments.pop();
-        } else if let Some((file, offset)) = &recovered.cut {
-            // Guards against a cut frame that would be taken for damage once a file follows.
-            let open = files.open(file).map_err(io("opening a cut file"))?;
-            let length = files.read(file).map_err(io("reading a cut file"))?.len();
-            files.write(&open, *offset, &vec![0; length - offset]).map_err(io("cutting a file"))?;
-            files.sync(&open).map_err(io("cutting a file"))?;
+        } else if let Some(&last) = segments.last() {
+            // What was read may be in the system's cache only, and after a failed sync a further sync
+            // would confirm it without writing. So it is written again; what was torn goes, lest it is
+            // taken for damage once a file follows.
+            let file = name(last);
+            let mut bytes = files.read(&file).map_err(io("reading the last file"))?;
+            let end = recovered.cut.as_ref().map_or(bytes.len(), |cut| cut.1);
+            bytes[end..].fill(0);
+            let open = files.open(&file).map_err(io("opening the last file"))?;
+            files.write(&open, 0, &bytes).map_err(io("writing the last file again"))?;
+            files.sync(&open).map_err(io("writing the last file again"))?;
         }
         if files.list().map_err(io("listing the directory"))?.iter().any(|n| n == SPARE) {
             files.remove(SPARE).map_err(io("removing an old spare file"))?;
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -15,7 +15,9 @@
 //!
 //! `now` is the caller's clock, the facade's too. Records carry *logical* time, which never falls over
 //! all lives: while the machine has not been booted anew it goes on with the up-time, whatever was done
-//! to the wall clock; after a boot it goes on with the wall clock or stays where it was.
+//! to the wall clock. After a boot nobody knows how long it was off: the logical clock goes on from where
+//! it was, so that no answer is forgotten early; what a client still has of its time is reckoned by the
+//! wall clock; and every window counts as over.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -33,6 +35,10 @@
 /// How much older than its lease a worker that the list says started "long ago" must say that its memory
 /// is: more than any jump of a clock that is to be survived.
 const LONG_AGO_MS: u64 = 2 * 3_600_000;
+/// When an attempt was sent of which nobody knows when: every window since is over.
+const LONG_AGO: Micros = 0;
+/// How long workers are asked, after a start, what became of a job whose client's time is over.
+const GRACE: Micros = 2_000_000;
 /// Records by which the log's old end moves on at least.
 const TRIM_STEP: u64 = 64;
 /// Finished jobs that are forgotten at one call, so that none takes long.
@@ -242,6 +248,7 @@
     deadline: Micros,
     wait: Micros,
     detached: bool,
+    late: bool,
     stage: Stage,
     attempts: Vec<Attempt>,
     outcome: Option<Outcome>,
@@ -321,9 +328,13 @@
     pub broken: u64,
 }
 
+/// The logical time, the wall clock and the boot at a life's beginning.
+type Anchor = (Micros, Micros, Boot);
+
 enum Pending {
     Begin(JobId),
     LetOut(JobId, u64),
+    Forget(JobId),
     Effect(Effect),
 }
 
@@ -401,26 +412,37 @@
             nothing: Rc::default(),
             born: wall,
         };
-        let (mut last, mut anchor) = (0, None);
+        let (mut last, mut anchor) = (0, None::<Anchor>);
         for (number, record) in past {
             last = last.max(jobs.replay(number, record, &mut anchor));
         }
-        let same_boot = anchor.filter(|(_, before): &(Micros, Boot)| before.id == boot.id && boot.id != 0);
-        let logical = match same_boot {
-            Some((at, before)) => at + boot.uptime.saturating_sub(before.uptime),
-            None => wall,
+        let same_boot = anchor.filter(|(_, _, before)| before.id == boot.id && boot.id != 0);
+        let logical = match (same_boot, anchor) {
+            (Some((at, _, before)), _) => at + boot.uptime.saturating_sub(before.uptime),
+            (None, Some(_)) => last,
+            (None, None) => wall,
         };
         let logical = logical.max(last);
+        let off = match (same_boot, anchor) {
+            (None, Some((at, then, _))) => wall.saturating_sub(then + (last - at)),
+            _ => 0,
+        };
         jobs.shift = logical.wrapping_sub(wall) as i64;
-        jobs.write(Record::Opened { at: logical, boot: boot.id, uptime: boot.uptime });
-        jobs.take_up(logical, same_boot.is_some());
+        jobs.write(Record::Opened { at: logical, wall, boot: boot.id, uptime: boot.uptime });
+        if same_boot.is_none() {
+            jobs.forget_when();
+        }
+        jobs.take_up(logical, off);
         jobs
     }
 
-    fn replay(&mut self, number: u64, record: Record, anchor: &mut Option<(Micros, Boot)>) -> Micros {
+    fn replay(&mut self, number: u64, record: Record, anchor: &mut Option<Anchor>) -> Micros {
         match record {
-            Record::Opened { at, boot, uptime } => {
-                *anchor = Some((at, Boot { id: boot, uptime }));
+            Record::Opened { at, wall, boot, uptime } => {
+                if anchor.is_some_and(|(_, _, before)| before.id != boot || boot == 0) {
+                    self.forget_when();
+                }
+                *anchor = Some((at, wall, Boot { id: boot, uptime }));
                 at
             }
             Record::Taken { at, id, print, order, deadline, wait, detached, leases } => {
@@ -432,6 +454,7 @@
                     deadline,
                     wait,
                     detached,
+                    late: false,
                     stage: Stage::Waiting,
                     attempts,
                     outcome: None,
@@ -464,6 +487,7 @@
                     deadline: at,
                     wait: 0,
                     detached: false,
+                    late: false,
                     stage: Stage::Over(answer, number),
                     attempts: doubt.into_iter().map(|l| Attempt::new(l, Stand::Doubt)).collect(),
                     outcome,
@@ -482,8 +506,14 @@
         }
     }
 
-    /// The jobs of a past life, in the order in which they were written.
-    fn take_up(&mut self, logical: Micros, same_boot: bool) {
+    /// The machine was booted anew: nobody knows how long ago anything was sent.
+    fn forget_when(&mut self) {
+        self.jobs.values_mut().flat_map(|j| &mut j.attempts).for_each(|a| a.lease.sent = LONG_AGO);
+    }
+
+    /// The jobs of a past life, in the order in which they were written; `off` is for how long the
+    /// machine was off, beyond the logical clock.
+    fn take_up(&mut self, logical: Micros, off: Micros) {
         let mut order: Vec<(u64, JobId)> = self.jobs.iter().map(|(id, job)| (job.number, *id)).collect();
         order.sort_unstable();
         for (number, id) in order {
@@ -492,9 +522,9 @@
             // From the logical clock to the caller's.
             job.written = now.saturating_sub(logical.saturating_sub(job.written));
             for a in &mut job.attempts {
-                // After a boot nobody knows how long it was: long enough for every window to be over.
-                let ago = if same_boot { logical.saturating_sub(a.lease.sent) } else { now };
-                a.lease.sent = now.saturating_sub(ago);
+                if a.lease.sent != LONG_AGO {
+                    a.lease.sent = now.saturating_sub(logical.saturating_sub(a.lease.sent));
+                }
                 a.ask_at = now;
                 if a.stand == Stand::Asked && !self.limits.leases {
                     a.stand = Stand::Doubt;
@@ -510,8 +540,14 @@
                 continue;
             }
             // Where the clock has gone back, a job has no more time than its client gave it.
-            let left = job.deadline.saturating_sub(logical).min(job.wait);
+            let left = job.deadline.saturating_sub(logical.saturating_add(off)).min(job.wait);
             job.deadline = now + left;
+            // Its client's time was over while nobody served: nothing new is sent, but a worker that can
+            // still say what became of it gets a moment to.
+            job.late = left == 0;
+            if job.late && job.attempts.iter().any(|a| a.stand == Stand::Asked) {
+                job.deadline = now + GRACE;
+            }
             // Its client may be gone with the connection: what becomes of it is kept.
             job.detached = true;
             self.open.insert(number, id);
@@ -560,7 +596,9 @@
         let attempts = match self.jobs.remove(&id) {
             Some(old) => {
                 self.unlist(id, &old);
-                old.attempts
+                // Their numbers at the facade were those of the earlier try.
+                let ran = old.attempts.into_iter().filter(Attempt::may_have_run);
+                ran.map(|a| Attempt { fetch: None, ..a }).collect()
             }
             None => Vec::new(),
         };
@@ -572,6 +610,7 @@
             deadline,
             wait,
             detached,
+            late: false,
             stage,
             attempts,
             outcome: None,
@@ -737,6 +776,12 @@
                 }
                 if over {
                     self.settle_one(id, token, Outcome::Ran);
+                    // A refusal is no answer to the job: this is.
+                    if let Some(Stage::Over(Answer::Refused(_), _)) =
+                        self.jobs.get(&id).map(|j| j.stage.clone())
+                    {
+                        self.close(id, Answer::Served(result));
+                    }
                     self.pend(Pending::Effect(Effect::Safe { id, token, worker }));
                 } else {
                     self.take_result(id, token, result, None, facade);
@@ -801,6 +846,12 @@
             match self.pending.pop_front() {
                 Some((_, Pending::Effect(effect))) => self.ready.push_back(effect),
                 Some((_, Pending::Begin(id))) => self.look(id, facade),
+                Some((_, Pending::Forget(id))) => {
+                    if let Some(job) = self.jobs.remove(&id) {
+                        self.bytes -= job.bytes;
+                        self.due.remove(&(job.due, id));
+                    }
+                }
                 Some((_, Pending::LetOut(id, token))) => self.let_out(id, token, facade),
                 None => {}
             }
@@ -912,7 +963,8 @@
     }
 
     fn logical_lease(&self, lease: &Lease) -> Lease {
-        Lease { sent: self.logical(lease.sent), ..lease.clone() }
+        let sent = if lease.sent == LONG_AGO { LONG_AGO } else { self.logical(lease.sent) };
+        Lease { sent, ..lease.clone() }
     }
 
     fn write_taken(&mut self, id: JobId) {
@@ -1020,7 +1072,7 @@
             memory: order.memory,
             key: order.key,
             hint: None,
-            remaining: job.deadline.saturating_sub(now),
+            remaining: if job.late { 0 } else { job.deadline.saturating_sub(now) },
         };
         let ran: Vec<&mut Attempt> = job.attempts.iter_mut().filter(|a| a.may_have_run()).collect();
         let mut earlier = Vec::new();
@@ -1133,8 +1185,6 @@
         (a.stand, a.ask_at) = (stand, self.now);
         match (req, a.fetch) {
             (Some(req), Some(fetch)) => facade.report(self.now, Seen::Ended(req, fetch, how, load)),
-            // It ended at its worker without a result: as in a job of this life, that is no success.
-            _ if stand == Stand::Ended => self.finish(id, Answer::Failed, facade),
             _ => self.look(id, facade),
         }
     }
@@ -1233,10 +1283,14 @@
         self.counts.doubts +=
             job.attempts.iter().filter(|a| a.stand == Stand::Doubt && !parked).count() as u64;
         if gone {
-            self.write(Record::Dropped { id });
-            if let Some(job) = self.jobs.remove(&id) {
-                self.unlist(id, &job);
-            }
+            let number = self.write(Record::Dropped { id });
+            let Some(job) = self.jobs.get_mut(&id) else { return };
+            // Known until that is durable: an order that comes meanwhile is the same try, and gets the
+            // same refusal.
+            job.stage = Stage::Over(answer.clone(), number);
+            let old = job.number;
+            self.open.remove(&old);
+            self.plan(id);
         } else {
             self.close(id, answer.clone());
         }
@@ -1245,13 +1299,19 @@
         }
         self.pend(Pending::Effect(Effect::Answer(id, answer)));
         safe.into_iter().for_each(|effect| self.pend(Pending::Effect(effect)));
+        if gone {
+            self.pend(Pending::Forget(id));
+        }
     }
 
     /// Writes what is kept of a job that is over, and lists it by whether it is in doubt.
     fn close(&mut self, id: JobId, answer: Answer) {
         let now = self.now;
         let Some(job) = self.jobs.get(&id) else { return };
-        let doubt: Vec<Lease> = job.doubt().iter().map(|l| self.logical_lease(l)).collect();
+        // What was refused may be tried again: all that may have run still counts then.
+        let parked = matches!(answer, Answer::Refused(_));
+        let kept = |a: &&Attempt| if parked { a.may_have_run() } else { a.stand == Stand::Doubt };
+        let doubt = job.attempts.iter().filter(kept).map(|a| self.logical_lease(&a.lease)).collect();
         let (print, outcome) = (job.print, job.outcome);
         let at = self.logical(now);
         let number = self.write(Record::Finished { at, id, print, answer: answer.clone(), doubt, outcome });
@@ -1319,7 +1379,7 @@
             let Boot { id, uptime } = self.boot;
             // The up-time goes on as the caller's clock does.
             let uptime = uptime + (self.now - self.born);
-            self.opened = self.write(Record::Opened { at, boot: id, uptime });
+            self.opened = self.write(Record::Opened { at, wall: self.now, boot: id, uptime });
         }
         let low = low.min(self.opened);
         if low > self.trimmed + TRIM_STEP {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -136,8 +136,10 @@
 pub enum Record {
     /// A life of the program begins, or goes on: the logical time, the machine's boot and its up-time.
     Opened {
-        /// The logical time.
+        /// The logical time, and the wall clock's then.
         at: Micros,
+        /// The wall clock.
+        wall: Micros,
         /// Which boot of the machine this is.
         boot: u128,
         /// How long the machine has been up.
