Serve durable jobs on sockets, with leases, fences and a store's thread

Need: clients that lose their scheduler come back with their key and get the one final answer; workers that speak leases say what became of a job.

Off unless the operator's file has jobs.dir.

--- a/crates/jobs/src/disk.rs
+++ b/crates/jobs/src/disk.rs
@@ -11,6 +11,7 @@
 use rustix::fs::{fallocate, flock, FallocateFlags, FlockOperation};
 
 use crate::log::Files;
+use crate::record::{JobId, Outcome};
 
 /// A directory that this process has for itself.
 pub struct Disk {
@@ -93,3 +94,41 @@
         self.folder.sync_all()
     }
 }
+
+/// Which boot of the machine this is and for how long it has been up, by the system. Where it doesn't
+/// say, each start counts as a new boot.
+pub fn boot() -> crate::machine::Boot {
+    let text = fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+    let digits: String = text.chars().filter(char::is_ascii_hexdigit).collect();
+    let up = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    crate::machine::Boot {
+        id: u128::from_str_radix(&digits, 16).unwrap_or(0),
+        uptime: up.tv_sec as u64 * 1_000_000 + up.tv_nsec as u64 / 1_000,
+    }
+}
+
+/// What an operator says of a job in doubt, left for the process that has the directory.
+pub fn leave_settlement(dir: &Path, id: JobId, outcome: Outcome) -> io::Result<PathBuf> {
+    let word = if outcome == Outcome::Ran { "ran" } else { "never" };
+    let path = dir.join(format!("settle-{id}-{word}"));
+    File::create(&path)?.sync_all()?;
+    Ok(path)
+}
+
+/// What operators have left, with the files to remove once it is durable. Other files are passed over.
+pub fn settlements(dir: &Path) -> Vec<(PathBuf, JobId, Outcome)> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).into_iter().flatten().flatten() {
+        let name = entry.file_name().into_string().unwrap_or_default();
+        let Some((id, word)) = name.strip_prefix("settle-").and_then(|rest| rest.split_once('-')) else {
+            continue;
+        };
+        let outcome = match word {
+            "ran" => Outcome::Ran,
+            "never" => Outcome::Never,
+            _ => continue,
+        };
+        id.parse().into_iter().for_each(|id| found.push((entry.path(), id, outcome)));
+    }
+    found
+}
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -881,14 +881,9 @@
         self.limits.leases && matches!(answer, Answer::Served(_))
     }
 
-    /// What a client is told whose time is over and whose job has no durable answer, since the store has
-    /// failed: a later life would say the same.
-    pub fn last_word(&self, id: JobId) -> Answer {
-        let ran = |job: &Job| job.attempts.iter().any(Attempt::may_have_run);
-        match self.jobs.get(&id) {
-            Some(job) if ran(job) => Answer::Failed,
-            _ => Answer::Refused(None),
-        }
+    /// Whether a job is known and on disk.
+    pub fn is_durable(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.number <= self.synced)
     }
 
     // ---- Time ----
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -22,6 +22,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use oakshed_jobs::record::JobId;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -31,7 +32,7 @@
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::timeout;
 
-use super::Net;
+use super::{durable, Net};
 use oakshed_core::facade::{Condition, Ending, Entry, Micros, Report, Req, Seen};
 
 /// The longest line of a job's stream: no body on the platform is longer.
@@ -48,6 +49,9 @@
 const SWEEP: Duration = Duration::from_millis(250);
 
 static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+pub(super) static LEASE_ID: HeaderName = HeaderName::from_static("lease-id");
+pub(super) static LEASE_TOKEN: HeaderName = HeaderName::from_static("lease-token");
+pub(super) static LEASE_MS: HeaderName = HeaderName::from_static("lease-ms");
 static SRV_DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 static SRV_LOAD: HeaderName = HeaderName::from_static("srv-load");
 
@@ -194,6 +198,11 @@
         self.all.borrow().values().filter(|b| b.ready).count()
     }
 
+    /// Where a backend was last, ready or not: only what asks it for nothing new goes there.
+    fn last_address(&self, name: &str) -> Option<SocketAddr> {
+        self.all.borrow().get(name).map(|b| b.address)
+    }
+
     fn address(&self, name: &str) -> Option<SocketAddr> {
         self.all.borrow().get(name).filter(|b| b.ready).map(|b| b.address)
     }
@@ -332,32 +341,52 @@
     }
 }
 
-/// Begins a fetch. It reports its own end to the facade, whether or not its handler still waits.
-pub(crate) fn start(
-    net: &Rc<Net>,
-    order: &Rc<Order>,
-    req: Req,
-    fetch: usize,
-    to: Rc<str>,
-    until: Micros,
-) -> Fetch {
+/// For whom a fetch is: its start, progress and end are told there.
+#[derive(Clone, Copy)]
+pub(crate) enum Whose {
+    /// A req's fetch, by its number.
+    Req(Req, usize),
+    /// A durable job's attempt, by its token.
+    Job(JobId, u64),
+}
+
+impl Whose {
+    fn alive(self, net: &Net, started: bool) {
+        match self {
+            Whose::Req(req, fetch) if started => net.report(Seen::Started(req, fetch)),
+            Whose::Req(req, fetch) => net.report(Seen::Progress(req, fetch)),
+            Whose::Job(id, token) => durable::alive(net, id, token, started),
+        }
+    }
+
+    fn ended(self, net: &Rc<Net>, ending: Ending, result: Option<Bytes>, load: Option<Report>) {
+        match self {
+            Whose::Req(req, fetch) => net.report(Seen::Ended(req, fetch, ending, load)),
+            Whose::Job(id, token) => durable::ended(net, id, token, ending, result, load),
+        }
+    }
+}
+
+/// Begins a fetch. It reports its own end, whether or not its handler still waits.
+pub(crate) fn start(net: &Rc<Net>, order: &Rc<Order>, whose: Whose, to: Rc<str>, until: Micros) -> Fetch {
     let (tx, rx) = oneshot::channel();
     let (net, order) = (net.clone(), order.clone());
     let task = tokio::task::spawn_local(async move {
         let sent = Sent::default();
-        let run = run(&net, &order, (req, fetch), &to, &sent, tx);
+        let run = run(&net, &order, whose, &to, &sent);
         let until = net.clock.instant(until.min(order.deadline));
         let ended = tokio::time::timeout_at(until, run).await;
-        let (ending, load, rest) = match ended {
-            Ok(Ended { ending, load, rest }) => (ending, load, rest),
-            Err(_) => (Ending::Expired, None, None),
-        };
+        let Ended { ending, result, load, rest } = ended.unwrap_or_else(|_| Ending::Expired.into());
         // Dropped and Expired are for what may have run; what was not written in full never did.
         let ending = match ending {
             Ending::Dropped | Ending::Expired if !sent.in_full() => Ending::DialFailed,
             ending => ending,
         };
-        net.report(Seen::Ended(req, fetch, ending, load));
+        // A req's handler takes the result from here, once it is told to serve it.
+        if let Some(result) = result.clone() {
+            _ = tx.send(result);
+        }
+        whose.ended(&net, ending, result, load);
         if let Some((link, body)) = rest {
             _ = timeout(REST, finish(&net, &to, link, body)).await;
         }
@@ -365,27 +394,21 @@
     Fetch { task: task.abort_handle(), result: Some(rx) }
 }
 
-/// How a fetch ended, and what is left of its connection where that is still good.
+/// How a fetch ended, its result, and what is left of its connection where that is still good.
 struct Ended {
     ending: Ending,
+    result: Option<Bytes>,
     load: Option<Report>,
     rest: Option<(Link, Incoming)>,
 }
 
 impl From<Ending> for Ended {
     fn from(ending: Ending) -> Self {
-        Ended { ending, load: None, rest: None }
+        Ended { ending, result: None, load: None, rest: None }
     }
 }
 
-async fn run(
-    net: &Net,
-    order: &Order,
-    (req, fetch): (Req, usize),
-    to: &Rc<str>,
-    sent: &Sent,
-    tx: oneshot::Sender<Bytes>,
-) -> Ended {
+async fn run(net: &Net, order: &Order, whose: Whose, to: &Rc<str>, sent: &Sent) -> Ended {
     let mut link = match connect(net, to).await {
         Ok(link) => link,
         Err(ending) => return ending.into(),
@@ -414,10 +437,9 @@
         let declined = head.headers.get(&SRV_DECLINED).is_some_and(|v| v == "1");
         let busy = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
         let ending = if declined && busy { Ending::Shed } else { Ending::Error };
-        return Ended { ending, load: load_in(&head.headers), rest: Some((link, body)) };
+        return Ended { ending, result: None, load: load_in(&head.headers), rest: Some((link, body)) };
     }
     let mut buffer = BytesMut::new();
-    let mut tx = Some(tx);
     while let Some(Ok(frame)) = body.frame().await {
         let Ok(data) = frame.into_data() else { continue };
         buffer.extend_from_slice(&data);
@@ -437,23 +459,20 @@
             }
             let ending = match &*line.state {
                 "started" => {
-                    net.report(Seen::Started(req, fetch));
+                    whose.alive(net, true);
                     continue;
                 }
                 "running" => {
-                    net.report(Seen::Progress(req, fetch));
+                    whose.alive(net, false);
                     continue;
                 }
                 "done" => {
-                    let result = line.result.and_then(result_bytes);
-                    match (result, tx.take()) {
-                        (Some(result), Some(tx)) => _ = tx.send(result),
-                        _ => {
-                            net.count(|c| &mut c.malformed_lines);
-                            return Ending::Dropped.into();
-                        }
-                    }
-                    Ending::Delivered
+                    let Some(result) = line.result.and_then(result_bytes) else {
+                        net.count(|c| &mut c.malformed_lines);
+                        return Ending::Dropped.into();
+                    };
+                    let (result, load) = (Some(result), line.load.map(Report::from));
+                    return Ended { ending: Ending::Delivered, result, load, rest: Some((link, body)) };
                 }
                 "failed" => Ending::Error,
                 "returned" => Ending::Shed,
@@ -464,7 +483,7 @@
                 _ => continue, // a word of a later day
             };
             let load = line.load.map(Report::from);
-            return Ended { ending, load, rest: Some((link, body)) };
+            return Ended { ending, result: None, load, rest: Some((link, body)) };
         }
         if buffer.len() > LONGEST_LINE {
             net.count(|c| &mut c.malformed_lines);
@@ -593,6 +612,25 @@
     in_head.or_else(in_json).or_else(|| std::str::from_utf8(&body).ok().map(load_of))
 }
 
+/// Asks a backend something that is no job, on a connection of its own; tells its answer's body where
+/// that is a 200. It need not be ready: a draining one still knows of what it has.
+pub(crate) async fn consult(net: &Net, to: &str, path: &str, token: u64, body: Bytes) -> Option<Bytes> {
+    let address = net.backends.last_address(to)?;
+    let slot = net.backends.slot(net)?;
+    let mut link = timeout(dial_limit(net), Link::open(address, Some(slot))).await.ok()?.ok()?;
+    let request = Request::post(path)
+        .header(HOST, address.to_string())
+        .header(&LEASE_TOKEN, token)
+        .header(CONTENT_LENGTH, body.len())
+        .body(Full::new(body));
+    let response = link.sender.send_request(request.ok()?).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = http_body_util::Limited::new(response.into_body(), 2 * LONGEST_LINE).collect().await;
+    Some(body.ok()?.to_bytes())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/server/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -15,7 +15,7 @@
 use tracing::{info, warn};
 
 use super::backends::Link;
-use super::Net;
+use super::{durable, Net};
 use crate::list::Answer;
 use oakshed_core::facade::{Entry, ListKind, Seen};
 
@@ -34,17 +34,18 @@
 const LARGEST_LIST: usize = 1 << 20;
 
 /// Takes in the list as it was last held, before anything else is known.
-pub(crate) fn remember(net: &Net) {
+pub(crate) fn remember(net: &Rc<Net>) {
     if let Some(known) = &net.config.known {
         apply(net, known, ListKind::Remembered);
     }
 }
 
-fn apply(net: &Net, answer: &Answer, kind: ListKind) {
+fn apply(net: &Rc<Net>, answer: &Answer, kind: ListKind) {
     let entries: Vec<Entry> = answer.instances.iter().map(|i| i.entry(&net.config.names)).collect();
     let addresses = answer.instances.iter().map(|i| i.host_port);
     net.backends.update(kind != ListKind::Changes, entries.iter().zip(addresses));
     net.report(Seen::List(kind, &entries));
+    durable::list(net, &entries, kind);
     if !entries.is_empty() {
         let (number, ready) = (answer.generation, net.backends.ready_count());
         info!(number, ready, "list {number} ({kind:?}): {} entries, {ready} backends ready", entries.len());
@@ -71,7 +72,7 @@
 }
 
 /// Watches the list whenever the facade asks for it, and now where that is wanted.
-async fn watch(net: &Net, at: SocketAddr, generation: &mut Option<u64>, mut now: bool) {
+async fn watch(net: &Rc<Net>, at: SocketAddr, generation: &mut Option<u64>, mut now: bool) {
     let hold = Duration::from_micros(net.config.settings.ask_every / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD);
     let mut link = None;
     loop {
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -26,7 +26,8 @@
 use tokio::sync::Notify;
 use tracing::warn;
 
-use super::backends::{self, Fetch, Order};
+use super::backends::{self, Fetch, Order, Whose};
+use super::durable;
 use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
 use super::Net;
 use oakshed_core::facade::{Ending, Job, Micros, Req, Seen, Step};
@@ -62,10 +63,10 @@
 
 static REQ_ID: HeaderName = HeaderName::from_static("req-id");
 static REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
-static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
+pub(super) static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
 static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
 static REQ_EXTRA: HeaderName = HeaderName::from_static("req-extra");
-static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(super) static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 // ---- Connections ----
 
@@ -292,14 +293,14 @@
 
 // ---- Requests ----
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-fn synthetic(retry_after: Option<Micros>) -> Response<Full<Bytes>> {
+pub(super) fn synthetic(retry_after: Option<Micros>) -> Response<Full<Bytes>> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
     let value = retry_after.map(|t| format!("{:.3}", t as f64 / 1e6));
     if let Some(value) = value.and_then(|v| HeaderValue::try_from(v).ok()) {
@@ -320,7 +321,11 @@
             _ => not_allowed("GET, HEAD"),
         };
     }
-    let (job, order, held) = match read(net, client, arrived, head, body).await {
+    if net.durable.is_some() && head.uri.path().starts_with("/jobs/") {
+        return durable::job(net, &head).await;
+    }
+    let asked = durable::Asked::read(&head.headers);
+    let (job, order, mut held) = match read(net, client, arrived, head, body).await {
         Ok(read) => read,
         Err(answer) => {
             net.count(|c| &mut c.bad_reqs);
@@ -330,6 +335,13 @@
     client.intake.arrived();
     client.known.set(true);
     client.idle_since.set(None);
+    if net.durable.is_some() {
+        return durable::handle(net, &job, order, &asked).await;
+    }
+    if !held.claim(&order.id) {
+        net.count(|c| &mut c.bad_reqs);
+        return plain(StatusCode::CONFLICT, "another open req has this Req-Id\n");
+    }
     handle(net, &job, Rc::new(order), held).await
 }
 
@@ -374,7 +386,7 @@
     }
 }
 
-fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
+pub(super) fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
     let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n");
     answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
     answer
@@ -458,7 +470,7 @@
     if size.lower() > LARGEST_BODY as u64 {
         return Err(too_large());
     }
-    let Some(mut held) = Held::room(net, size.exact().map_or(LARGEST_BODY, |n| n as usize)) else {
+    let Some(held) = Held::room(net, size.exact().map_or(LARGEST_BODY, |n| n as usize)) else {
         net.count(|c| &mut c.no_room);
         let s = &net.config.settings;
         client.intake.last.set(true);
@@ -482,10 +494,8 @@
     if !headers.contains_key(HOST) {
         return Err(bad("no Host\n"));
     }
-    if !held.claim(&id) {
-        return Err(plain(StatusCode::CONFLICT, "another open req has this Req-Id\n"));
-    }
-    let deadline = net.bounded(arrived, deadline);
+    // A durable job outlives a stop; only its client's wait is cut.
+    let deadline = if net.durable.is_some() { deadline } else { net.bounded(arrived, deadline) };
     Ok((job, Order { method: head.method, target, headers, id, body, deadline }, held))
 }
 
@@ -512,7 +522,7 @@
         match net.pick(req).await {
             Step::Fetch { fetch, backend, until } => {
                 net.must(fetch == handler.fetches.len(), "fetches are numbered in order");
-                handler.fetches.push(backends::start(net, &order, req, fetch, backend, until));
+                handler.fetches.push(backends::start(net, &order, Whose::Req(req, fetch), backend, until));
             }
             Step::Serve { fetch } => {
                 let result = match handler.fetches.get_mut(fetch) {
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod backends;
 pub mod director;
+mod durable;
 pub mod front;
 mod reader;
 
@@ -120,6 +121,8 @@
     /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
     pub stop: Cell<Option<(Micros, Micros)>>,
     pub open: front::Open,
+    /// Durable jobs, where the operators have switched them on.
+    pub durable: Option<durable::Durable>,
 }
 
 impl Net {
@@ -163,8 +166,11 @@
     let hangup = signal(SignalKind::hangup())?;
     let facade = Facade::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
     let listener = front::listen(config.listen)?;
+    let clock = Clock::new();
+    let (durable, told) = durable::open(&config, clock.now())?;
+    durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
     let net = Rc::new(Net {
-        clock: Clock::new(),
+        clock,
         facade: RefCell::new(facade),
         backends: backends::Backends::default(),
         counters: RefCell::default(),
@@ -174,10 +180,12 @@
         ready: Cell::new(false),
         stop: Cell::new(None),
         open: front::Open::default(),
+        durable,
         config,
     });
     let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
     info!(%listen, %director, sockets, "{name} listens on {listen}, director {director}, {sockets} sockets");
+    tokio::task::spawn_local(durable::run(net.clone(), told));
     director::remember(&net);
     net.ready.set(true);
     tokio::task::spawn_local(run_timer(net.clone()));
@@ -188,7 +196,10 @@
     tokio::task::spawn_local(stop_when_told(net.clone(), term, int));
     front::run(&net, listener).await;
     info!("stopped: {}", summary(&net));
-    Ok(())
+    match net.durable.as_ref().and_then(durable::Durable::failure) {
+        Some(why) => Err(io::Error::other(format!("the store has failed: {why}"))),
+        None => Ok(()),
+    }
 }
 
 /// The timer of the decisions, and what they want done besides the steps of reqs.
@@ -253,7 +264,8 @@
 }
 
 fn summary(net: &Net) -> String {
-    format!("{} {:?}", net.facade.borrow().tally(), net.counters.borrow())
+    let jobs = net.durable.as_ref().map(durable::Durable::summary).unwrap_or_default();
+    format!("{} {:?}{jobs}", net.facade.borrow().tally(), net.counters.borrow())
 }
 
 async fn log_counters(net: Rc<Net>) {
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -130,7 +130,7 @@
 }
 
 /// What the director has to tell: the list by name, and its number.
-type Told = (u64, Vec<(String, SocketAddr, &'static str)>);
+type Told = (u64, Vec<(String, SocketAddr, &'static str, u64)>);
 
 pub struct Director {
     pub peer: Peer,
@@ -141,7 +141,7 @@
 
 impl Director {
     pub fn new(backends: &[(&str, SocketAddr)]) -> Director {
-        let entries = backends.iter().map(|(name, at)| (name.to_string(), *at, "ready")).collect();
+        let entries = backends.iter().map(|(name, at)| (name.to_string(), *at, "ready", 0)).collect();
         let told = Arc::new((Mutex::new((1, entries)), Condvar::new()));
         let spoilt = Arc::new(Mutex::new(Vec::<&str>::new()));
         let (shared, spoil) = (told.clone(), spoilt.clone());
@@ -175,6 +175,14 @@
         self.told.1.notify_all();
     }
 
+    /// The backend has started at that time, in Unix time milliseconds.
+    pub fn started(&self, name: &str, at_ms: u64) {
+        let mut told = self.told.0.lock().unwrap();
+        told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.3 = at_ms);
+        told.0 += 1;
+        self.told.1.notify_all();
+    }
+
     pub fn set(&self, name: &str, lifecycle: &'static str) {
         let mut told = self.told.0.lock().unwrap();
         told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.2 = lifecycle);
@@ -184,9 +192,9 @@
 }
 
 fn list((number, list): &Told, whole: bool, empty: bool) -> String {
-    let entry = |(name, at, state): &(String, SocketAddr, &str)| {
+    let entry = |(name, at, state, started): &(String, SocketAddr, &str, u64)| {
         format!(
-            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":0}}"#
+            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":{started}}}"#
         )
     };
     let entries: Vec<String> = list.iter().filter(|_| !empty).map(entry).collect();
@@ -233,6 +241,11 @@
         Program::start_knowing(director, &known, sockets, edits)
     }
 
+    /// With an operator's file.
+    pub fn start_durable(director: &Director, operator: &str) -> Program {
+        Program::start_from(config(director.peer.address, "null", 1024), director, Some(operator))
+    }
+
     /// With something else for the list as last held.
     pub fn start_knowing(
         director: &Director,
@@ -247,8 +260,17 @@
             text.replace(from, to)
         };
         std::fs::write(&path, edits.iter().fold(text, edit)).expect("written");
-        let mut child = Command::new(Program::binary())
-            .arg("serve")
+        Program::start_from(path, director, None)
+    }
+
+    fn start_from(path: std::path::PathBuf, director: &Director, operator: Option<&str>) -> Program {
+        let mut command = Command::new(Program::binary());
+        command.arg("serve");
+        if let Some(operator) = operator {
+            std::fs::write(path.with_extension("operator"), operator).expect("written");
+            command.arg("--operator").arg(path.with_extension("operator"));
+        }
+        let mut child = command
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_DISCOVERY", director.peer.address.to_string())
             .stderr(Stdio::piped())
@@ -312,6 +334,7 @@
         _ = self.child.kill();
         _ = self.child.wait();
         _ = std::fs::remove_file(&self.path);
+        _ = std::fs::remove_file(self.path.with_extension("operator"));
     }
 }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -99,16 +99,18 @@
     }
 
     fn lease(&self, rest: &str, message: &Message, stream: &mut TcpStream) -> bool {
+        if rest == "safe" {
+            let text = String::from_utf8_lossy(&message.body);
+            let mut ledger = self.ledger.lock().expect("whole");
+            text.lines().filter_map(|line| line.split(' ').next()).for_each(|id| ledger.safe(id));
+            return status(stream, "200 OK");
+        }
         let token = message.field("lease-token").and_then(|t| t.parse().ok());
         let (Some((id, verb)), Some(token)) = (rest.split_once('/'), token) else {
             return status(stream, "400 Bad Request");
         };
         let mut ledger = self.ledger.lock().expect("whole");
         let word = match verb {
-            "safe" => {
-                ledger.safe(id);
-                return status(stream, "200 OK");
-            }
             "fence" => ledger.fence(id, token),
             _ => return status(stream, "404 Not Found"),
         };
