--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -651,6 +651,11 @@
         Some(View { answer, attempts: job.attempts.len(), doubt, outcome: job.outcome })
     }
 
+    /// The jobs that are not over.
+    pub fn open(&self) -> Vec<JobId> {
+        self.open.values().copied().collect()
+    }
+
     /// The jobs that are over and in doubt.
     pub fn in_doubt(&self) -> Vec<JobId> {
         self.doubtful.values().copied().collect()
--- /dev/null
+++ b/crates/server/src/jobs_cli.rs
@@ -0,0 +1,225 @@
+//! `oakshed jobs`: a look into a store of durable jobs, and an operator's word on those in doubt.
+//!
+//! It owns the forms in which these are printed. It must never change a store that a process serves
+//! from: what is to be settled is left for that process to take.
+
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use oakshed_jobs::disk::{self, Disk};
+use oakshed_jobs::log::{encode, read_all, Log, Recovered, Trouble};
+use oakshed_jobs::machine::{Jobs, Limits, Names, View};
+use oakshed_jobs::record::{Answer, JobId, Outcome, Record};
+use serde_json::json;
+
+/// look into a store of durable jobs, or settle one in doubt
+#[derive(FromArgs)]
+#[argh(subcommand, name = "jobs")]
+pub struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    List(List),
+    Settle(Settle),
+    Verify(Verify),
+    Export(Export),
+}
+
+/// list the jobs that are open or in doubt
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {
+    /// the store's directory
+    #[argh(option)]
+    dir: PathBuf,
+    /// only those in doubt
+    #[argh(switch)]
+    in_doubt: bool,
+    /// as JSON lines
+    #[argh(switch)]
+    json: bool,
+}
+
+/// say whether a job in doubt ran
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settle")]
+struct Settle {
+    /// the store's directory
+    #[argh(option)]
+    dir: PathBuf,
+    /// it ran
+    #[argh(switch)]
+    ran: bool,
+    /// it never ran
+    #[argh(switch)]
+    never: bool,
+    /// the job: 32 hexadecimal digits
+    #[argh(positional)]
+    id: JobId,
+}
+
+/// read the whole store and tell what is damaged; the status is 1 where anything is
+#[derive(FromArgs)]
+#[argh(subcommand, name = "verify")]
+struct Verify {
+    /// the store's directory
+    #[argh(option)]
+    dir: PathBuf,
+}
+
+/// print every record that can be read, as JSON lines
+#[derive(FromArgs)]
+#[argh(subcommand, name = "export")]
+struct Export {
+    /// the store's directory
+    #[argh(option)]
+    dir: PathBuf,
+}
+
+/// Carries the command out.
+pub fn run(args: Args) -> Result<(), String> {
+    match args.command {
+        Command::List(List { dir, in_doubt, json }) => list(&dir, in_doubt, json),
+        Command::Settle(Settle { dir, ran, never, id }) => settle(&dir, id, ran, never),
+        Command::Verify(Verify { dir }) => verify(&dir),
+        Command::Export(Export { dir }) => export(&dir),
+    }
+}
+
+fn wrong(dir: &Path) -> impl Fn(&dyn std::fmt::Display) -> String + '_ {
+    move |e| format!("{}: {e}", dir.display())
+}
+
+fn read(dir: &Path) -> Result<(Recovered, Vec<Trouble>), String> {
+    let disk = Disk::look(dir).map_err(|e| wrong(dir)(&e))?;
+    read_all(&disk).map_err(|e| wrong(dir)(&e))
+}
+
+/// The machine as a start would make it; nothing is bounded, as nothing is taken on.
+fn machine(recovered: Recovered, next: u64) -> Jobs {
+    let limits = Limits {
+        leases: true,
+        lease: 1,
+        keep: u64::MAX / 2,
+        open: usize::MAX,
+        kept: usize::MAX,
+        bytes: usize::MAX,
+    };
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = now.map_or(0, |d| d.as_micros() as u64);
+    Jobs::restore(limits, Names::default(), recovered.records, next, now, disk::boot())
+}
+
+fn list(dir: &Path, in_doubt: bool, json: bool) -> Result<(), String> {
+    let (recovered, troubles) = read(dir)?;
+    troubles.iter().for_each(|t| eprintln!("oakshed: {t}"));
+    let next = recovered.records.last().map_or(1, |(n, _)| n + 1);
+    let jobs = machine(recovered, next);
+    let open = if in_doubt { Vec::new() } else { jobs.open() };
+    for id in open.into_iter().chain(jobs.in_doubt()) {
+        let Some(View { answer, attempts, doubt, .. }) = jobs.view(id) else { continue };
+        let state = if answer.is_some() { "in doubt" } else { "open" };
+        let at: Vec<String> = doubt.iter().map(|l| format!("{} (token {})", l.worker, l.token)).collect();
+        match json {
+            true => {
+                println!("{}", json!({"id": id.to_string(), "state": state, "attempts": attempts, "at": at}))
+            }
+            false => println!("{id}  {state:8}  {attempts} attempts  {}", at.join(", ")),
+        }
+    }
+    Ok(())
+}
+
+fn settle(dir: &Path, id: JobId, ran: bool, never: bool) -> Result<(), String> {
+    let outcome = match (ran, never) {
+        (true, false) => Outcome::Ran,
+        (false, true) => Outcome::Never,
+        _ => return Err("say either --ran or --never".into()),
+    };
+    let Ok(disk) = Disk::lock(dir) else {
+        let path = disk::leave_settlement(dir, id, outcome).map_err(|e| wrong(dir)(&e))?;
+        println!("left for the process that uses the directory: {}", path.display());
+        return Ok(());
+    };
+    // Nobody uses it: the word goes into the log here and now.
+    let (mut log, recovered) = Log::open(disk, 1 << 20).map_err(|e| wrong(dir)(&e))?;
+    let next = log.next();
+    let mut jobs = machine(recovered, next);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    if !jobs.settle(now.map_or(0, |d| d.as_micros() as u64), id, outcome) {
+        return Err(format!("{id} is not in doubt"));
+    }
+    let (first, records) = jobs.records();
+    let (mut frames, mut lengths) = (Vec::new(), Vec::new());
+    for (n, record) in records.iter().enumerate() {
+        let before = frames.len();
+        encode(&mut frames, first + n as u64, first - 1, record);
+        lengths.push(frames.len() - before);
+    }
+    log.append(&frames, &lengths).map_err(|e| wrong(dir)(&e))?;
+    println!("{id} is settled");
+    Ok(())
+}
+
+fn verify(dir: &Path) -> Result<(), String> {
+    let (recovered, troubles) = read(dir)?;
+    if let Some((file, offset)) = &recovered.cut {
+        println!("{file} ends in a torn write at offset {offset}; a start cuts it, and nothing is lost");
+    }
+    println!("{} records can be read", recovered.records.len());
+    if troubles.is_empty() {
+        return Ok(());
+    }
+    let all: Vec<String> = troubles.iter().map(Trouble::to_string).collect();
+    Err(all.join("; "))
+}
+
+fn export(dir: &Path) -> Result<(), String> {
+    let (recovered, troubles) = read(dir)?;
+    troubles.iter().for_each(|t| eprintln!("oakshed: {t}"));
+    for (number, record) in &recovered.records {
+        println!("{}", shown(*number, record));
+    }
+    Ok(())
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn shown(number: u64, record: &Record) -> serde_json::Value {
+    match record {
+        Record::Opened { at, wall, .. } => {
+            json!({"n": number, "what": "opened", "at_us": at, "wall_us": wall})
+        }
+        Record::Taken { at, id, order, deadline, leases, .. } => json!({
+            "n": number, "what": "taken", "id": id.to_string(), "at_us": at, "deadline_us": deadline,
+            "class": order.class, "owner": order.owner, "target": order.target, "body": text(&order.body),
+            "fields": order.fields.iter().map(|(n, v)| (n.clone(), text(v))).collect::<Vec<_>>(),
+            "leases": leases,
+        }),
+        Record::Leased { id, lease } => {
+            json!({"n": number, "what": "leased", "id": id.to_string(), "lease": lease})
+        }
+        Record::Unsent { id, token } => {
+            json!({"n": number, "what": "unsent", "id": id.to_string(), "token": token})
+        }
+        Record::Finished { at, id, answer, doubt, outcome, .. } => {
+            let (kind, result) = match answer {
+                Answer::Served(result) => ("served", Some(text(result))),
+                Answer::Failed => ("failed", None),
+                Answer::Refused(_) => ("refused", None),
+                Answer::Cancelled => ("withdrawn", None),
+            };
+            json!({
+                "n": number, "what": "finished", "id": id.to_string(), "at_us": at, "answer": kind,
+                "result": result, "doubt": doubt, "outcome": outcome.map(|o| format!("{o:?}")),
+            })
+        }
+        Record::Dropped { id } => json!({"n": number, "what": "dropped", "id": id.to_string()}),
+    }
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -12,6 +12,7 @@
 use oakshed::operator::{self, Operator};
 
 mod demo;
+mod jobs_cli;
 
 /// A scheduler that hands registration jobs to workers in tiers.
 #[derive(FromArgs)]
@@ -27,6 +28,7 @@
     Check(Check),
     Schema(Schema),
     Demo(Demo),
+    Jobs(jobs_cli::Args),
     Version(Version),
 }
 
@@ -84,6 +86,7 @@
             print!("{}", operator::schema());
             Ok(())
         }
+        Command::Jobs(args) => jobs_cli::run(args),
         Command::Demo(Demo { jobs, once }) => demo::run(jobs, once).map_err(|e| e.to_string()),
         Command::Serve(Serve { operator, log_format }) => {
             logging::start(log_format);
--- a/crates/server/tests/durable.rs
+++ b/crates/server/tests/durable.rs
@@ -88,6 +88,16 @@
     assert_eq!(program.ask(&look("/jobs/x")).status(), 404);
     // All of it outlives the program.
     drop(program);
+    let jobs = |more: &[&str]| {
+        let dir = dir.0.join("store");
+        let out = Command::new(Program::binary()).arg("jobs").args(more).arg("--dir").arg(dir).output();
+        let out = out.expect("run");
+        (out.status.code(), String::from_utf8_lossy(&out.stdout).into_owned())
+    };
+    let (status, told) = jobs(&["verify"]);
+    assert!(status == Some(0) && told.contains("records can be read"), "{told}");
+    assert_eq!(jobs(&["export"]).1.matches(r#""answer":"served""#).count(), 3);
+    assert_eq!(jobs(&["list"]).1, "");
     let program = Program::start_durable(&director, &dir.operator(true));
     assert_eq!(program.ask(&keyed("transfer", "id-6", "k-1", "")).body, first.body);
     assert!(text_of(&program.ask(&look(&place))).contains("served"));
@@ -95,6 +105,29 @@
     assert_eq!((starts.len(), starts.values().sum::<usize>()), (3, 3), "{starts:?}");
 }
 
+/// The worker speaks no leases and breaks off: nobody can say whether the job ran.
+#[test]
+fn a_job_in_doubt_stays_listed_until_it_is_settled() {
+    let dir = Dir::new("doubt");
+    let backend = Peer::new(|_, _| false);
+    let director = Director::new(&[("s-1", backend.address)]);
+    let program = Program::start_durable(&director, &dir.operator(false));
+    assert_eq!(program.ask(&keyed("transfer", "id-1", "k-1", "")).status(), 502);
+    let place = format!("GET /jobs/{} HTTP/1.1\r\nHost: x\r\n\r\n", job_id("k-1"));
+    assert!(text_of(&program.ask(&place)).contains(r#""worker":"s-1""#));
+    let jobs = |more: &[&str]| {
+        let dir = dir.0.join("store");
+        let out = Command::new(Program::binary()).arg("jobs").args(more).arg("--dir").arg(dir).output();
+        String::from_utf8_lossy(&out.expect("run").stdout).into_owned()
+    };
+    assert!(jobs(&["list", "--in-doubt"]).contains(&job_id("k-1")));
+    assert!(jobs(&["settle", &job_id("k-1"), "--ran"]).contains("left for the process"));
+    until("its word", || text_of(&program.ask(&place)).contains(r#""outcome":"ran""#));
+    until("the list without it", || jobs(&["list", "--in-doubt"]).is_empty());
+    let again = program.ask(&keyed("transfer", "id-2", "k-1", ""));
+    assert_eq!((again.status(), backend.count()), (502, 1), "its answer stays, and it is not sent again");
+}
+
 #[test]
 fn a_second_process_and_a_damaged_store_are_told() {
     let dir = Dir::new("damage");
