Let an order and its first step share a sync: three syncs a job become two

Need: durable jobs cost more than was aimed at, a sync each for the order, the lease and the answer.

Change: the decisions have a job as soon as it is taken; what they come to is written behind the order, and still let out only when both are durable.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -332,7 +332,6 @@
 type Anchor = (Micros, Micros, Boot);
 
 enum Pending {
-    Begin(JobId),
     LetOut(JobId, u64),
     Forget(JobId),
     Effect(Effect),
@@ -565,6 +564,7 @@
         order: Order,
         wait: Micros,
         detached: bool,
+        facade: &mut Facade,
     ) -> Submitted {
         self.now = now;
         let print = order.print();
@@ -623,8 +623,10 @@
         self.jobs.insert(id, job);
         self.write_taken(id);
         self.pend(Pending::Effect(Effect::Accepted(id)));
-        self.pend(Pending::Begin(id));
-        self.plan(id);
+        // The decisions may have it at once: what they come to waits for its record with the order's, and
+        // so costs no sync of its own.
+        self.look(id, facade);
+        self.pump(now, facade);
         Submitted::Open
     }
 
@@ -850,7 +852,6 @@
         while self.pending.front().is_some_and(|p| p.0 <= self.synced) {
             match self.pending.pop_front() {
                 Some((_, Pending::Effect(effect))) => self.ready.push_back(effect),
-                Some((_, Pending::Begin(id))) => self.look(id, facade),
                 Some((_, Pending::Forget(id))) => {
                     if let Some(job) = self.jobs.remove(&id) {
                         self.bytes -= job.bytes;
@@ -1045,8 +1046,8 @@
             }
         }
         let begins = job.stage == Stage::Waiting && !job.attempts.iter().any(Attempt::open);
-        // What a past life has left waits for a fresh list; all wait until they are durable.
-        let may = self.fresh && job.number <= self.synced && !self.failed;
+        // All wait for a fresh list, and what a past life has left for nothing more.
+        let may = self.fresh && !self.failed;
         self.counts.fences += asks.len() as u64;
         self.ready.extend(asks);
         if begins && may {
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -897,7 +897,7 @@
         let (span, tries) = (wait + 2 * S, self.clients[n].tries);
         self.after(span, Event::LosesPatience(n, tries));
         self.truth.entry(id).or_default().disowned = false;
-        let submitted = self.with(|l, now| l.jobs.submit(now, id, order, wait, detached));
+        let submitted = self.with(|l, now| l.jobs.submit(now, id, order, wait, detached, &mut l.facade));
         match submitted {
             Some(Submitted::Open) => {
                 if let Some(l) = &mut self.life {
--- a/crates/server/src/net/durable.rs
+++ b/crates/server/src/net/durable.rs
@@ -475,8 +475,11 @@
     };
     let now = net.clock.now();
     let until = order.deadline;
-    let submitted =
-        durable.jobs.borrow_mut().submit(now, id, wanted, until.saturating_sub(now), asked.detached);
+    let left = until.saturating_sub(now);
+    let submitted = {
+        let facade = &mut net.facade.borrow_mut();
+        durable.jobs.borrow_mut().submit(now, id, wanted, left, asked.detached, facade)
+    };
     match submitted {
         Submitted::Over(over) => return answer(net, over),
         Submitted::Conflict => {
