List a closed job once, and encode groups of records in one place

Cause, found on rereading: a job that is over and closed again (its doubt settled, or its refusal overtaken by a result) got a second entry in the list of what is to be forgotten; the first could forget its answer early, or, after a client's new try, an open job. Besides, three places framed a group of records, and three arms of on_fenced gave up the same connection.

Change: close() takes the job out of its list by its number, found by binary search as entries lie in order of numbers, where a scan was; log::encode_all serves the server, the command line and the simulation; one Stop stands before the words that end an attempt.

--- a/crates/jobs/src/log.rs
+++ b/crates/jobs/src/log.rs
@@ -117,6 +117,17 @@
     buffer[start + 4..start + 8].copy_from_slice(&sum.to_le_bytes());
 }
 
+/// A group's frames, numbered from `first`, and their lengths, as [`Log::append`] takes them.
+pub fn encode_all(first: u64, synced: u64, records: &[Record]) -> (Vec<u8>, Vec<usize>) {
+    let (mut frames, mut lengths) = (Vec::new(), Vec::with_capacity(records.len()));
+    for (number, record) in (first..).zip(records) {
+        let before = frames.len();
+        encode(&mut frames, number, synced, record);
+        lengths.push(frames.len() - before);
+    }
+    (frames, lengths)
+}
+
 fn u32_at(bytes: &[u8], at: usize) -> Option<u32> {
     Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
 }
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -595,7 +595,9 @@
         self.counts.taken += 1;
         let attempts = match self.jobs.remove(&id) {
             Some(old) => {
-                self.unlist(id, &old);
+                self.bytes -= old.bytes;
+                self.due.remove(&(old.due, id));
+                self.unlist(old.number);
                 // Their numbers at the facade were those of the earlier try.
                 let ran = old.attempts.into_iter().filter(Attempt::may_have_run);
                 ran.map(|a| Attempt { fetch: None, ..a }).collect()
@@ -775,12 +777,13 @@
             0 => since.saturating_add(LONG_AGO_MS) <= a.lease.sent / 1_000,
             start => since <= start,
         };
+        // These words end the attempt: its connection is of no use any more.
+        if a.stand == Stand::Out && matches!(word, Some((Word::Done(_) | Word::Never | Word::Failed, _))) {
+            self.ready.push_back(Effect::Stop { id, token });
+        }
         match word {
             Some((Word::Done(result), _)) => {
-                let (out, worker) = (a.stand == Stand::Out, a.worker.clone());
-                if out {
-                    self.ready.push_back(Effect::Stop { id, token });
-                }
+                let worker = a.worker.clone();
                 if over {
                     self.settle_one(id, token, Outcome::Ran);
                     // A refusal is no answer to the job: this is.
@@ -800,9 +803,6 @@
                 self.plan(id);
             }
             Some((Word::Never, since)) if whole(since) => {
-                if a.stand == Stand::Out {
-                    self.ready.push_back(Effect::Stop { id, token });
-                }
                 if over {
                     self.settle_one(id, token, Outcome::Never);
                 } else {
@@ -811,16 +811,9 @@
             }
             // Its memory does not reach back: nobody will ever know.
             Some((Word::Never, _)) if !over => {
-                let token = a.lease.token;
-                if a.stand == Stand::Out {
-                    self.ready.push_back(Effect::Stop { id, token });
-                }
                 self.end_attempt(id, token, Stand::Doubt, Ending::Dropped, None, facade);
             }
             Some((Word::Failed, _)) => {
-                if a.stand == Stand::Out {
-                    self.ready.push_back(Effect::Stop { id, token });
-                }
                 if over {
                     self.settle_one(id, token, Outcome::Ran);
                 } else {
@@ -990,14 +983,13 @@
         self.open.insert(number, id);
     }
 
-    /// Takes a job that is over out of the lists, as it is to be open again.
-    fn unlist(&mut self, id: JobId, job: &Job) {
-        self.bytes -= job.bytes;
-        self.due.remove(&(job.due, id));
-        if self.open.remove(&job.number).or_else(|| self.doubtful.remove(&job.number)).is_none() {
-            // Found from its end: a refusal is mostly tried again soon.
-            let at = self.finished.iter().rposition(|f| f.2 == id);
-            at.into_iter().for_each(|at| _ = self.finished.remove(at));
+    /// Takes a job out of the list that it is in, by its number. Guards against a second entry of one that
+    /// is closed again, which would later forget it early, or forget what has its name by then.
+    fn unlist(&mut self, number: u64) {
+        if self.open.remove(&number).or_else(|| self.doubtful.remove(&number)).is_none() {
+            if let Ok(at) = self.finished.binary_search_by_key(&number, |f| f.1) {
+                self.finished.remove(at);
+            }
         }
     }
 
@@ -1316,9 +1308,8 @@
         let (print, outcome) = (job.print, job.outcome);
         let at = self.logical(now);
         let number = self.write(Record::Finished { at, id, print, answer: answer.clone(), doubt, outcome });
+        self.unlist(self.jobs.get(&id).map_or(0, |job| job.number));
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        self.open.remove(&job.number);
-        self.doubtful.remove(&job.number);
         self.bytes -= job.bytes;
         job.order = self.nothing.clone();
         job.bytes = size_of(&answer);
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use oakshed_core::facade::{Condition, Ending, Entry, Facade, ListKind, Micros, Seen as Told, Settings};
 use oakshed_core::interface::{Class, Effect as Kind, Scope};
 use oakshed_jobs::fault::Faulty;
-use oakshed_jobs::log::{encode, Log, Trouble};
+use oakshed_jobs::log::{encode_all, Log, Trouble};
 use oakshed_jobs::machine::{Boot, Effect, End, Jobs, Limits, Names, Submitted, Word};
 use oakshed_jobs::record::{Answer, JobId, Key, Order};
 
@@ -520,12 +520,7 @@
             if l.syncing.is_none() && !l.failed {
                 let (first, records) = l.jobs.records();
                 if !records.is_empty() {
-                    let (mut bytes, mut lengths) = (Vec::new(), Vec::new());
-                    for (n, record) in records.iter().enumerate() {
-                        let before = bytes.len();
-                        encode(&mut bytes, first + n as u64, first - 1, record);
-                        lengths.push(bytes.len() - before);
-                    }
+                    let (bytes, lengths) = encode_all(first, first - 1, &records);
                     let last = first + records.len() as u64 - 1;
                     l.syncing = Some((bytes, lengths, last));
                     let number = l.number;
--- a/crates/server/src/jobs_cli.rs
+++ b/crates/server/src/jobs_cli.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 use oakshed_jobs::disk::{self, Disk};
-use oakshed_jobs::log::{encode, read_all, Log, Recovered, Trouble};
+use oakshed_jobs::log::{encode_all, read_all, Log, Recovered, Trouble};
 use oakshed_jobs::machine::{Jobs, Limits, Names, View};
 use oakshed_jobs::record::{Answer, JobId, Outcome, Record};
 use serde_json::json;
@@ -99,6 +99,12 @@
     read_all(&disk).map_err(|e| wrong(dir)(&e))
 }
 
+/// Unix time in microseconds.
+fn now() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |d| d.as_micros() as u64)
+}
+
 /// The machine as a start would make it; nothing is bounded, as nothing is taken on.
 fn machine(recovered: Recovered, next: u64) -> Jobs {
     let limits = Limits {
@@ -109,9 +115,7 @@
         kept: usize::MAX,
         bytes: usize::MAX,
     };
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let now = now.map_or(0, |d| d.as_micros() as u64);
-    Jobs::restore(limits, Names::default(), recovered.records, next, now, disk::boot())
+    Jobs::restore(limits, Names::default(), recovered.records, next, now(), disk::boot())
 }
 
 fn list(dir: &Path, in_doubt: bool, json: bool) -> Result<(), String> {
@@ -149,17 +153,11 @@
     let (mut log, recovered) = Log::open(disk, 1 << 20).map_err(|e| wrong(dir)(&e))?;
     let next = log.next();
     let mut jobs = machine(recovered, next);
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    if !jobs.settle(now.map_or(0, |d| d.as_micros() as u64), id, outcome) {
+    if !jobs.settle(now(), id, outcome) {
         return Err(format!("{id} is not in doubt"));
     }
     let (first, records) = jobs.records();
-    let (mut frames, mut lengths) = (Vec::new(), Vec::new());
-    for (n, record) in records.iter().enumerate() {
-        let before = frames.len();
-        encode(&mut frames, first + n as u64, first - 1, record);
-        lengths.push(frames.len() - before);
-    }
+    let (frames, lengths) = encode_all(first, first - 1, &records);
     log.append(&frames, &lengths).map_err(|e| wrong(dir)(&e))?;
     println!("{id} is settled");
     Ok(())
--- a/crates/server/src/net/durable.rs
+++ b/crates/server/src/net/durable.rs
@@ -22,7 +22,7 @@
 use oakshed_core::interface::Effect as Kind;
 use oakshed_jobs::disk::{self, Disk};
 use oakshed_jobs::group::{Group, Told};
-use oakshed_jobs::log::{encode, Log};
+use oakshed_jobs::log::{encode_all, Log};
 use oakshed_jobs::machine::{Counts, Effect, End, Jobs, Limits, Names, Submitted, Word};
 use oakshed_jobs::record::{self, Answer, JobId, Key, Outcome};
 use rustc_hash::FxHashMap;
@@ -168,12 +168,7 @@
         if records.is_empty() || self.failure.borrow().is_some() {
             return;
         }
-        let (mut frames, mut lengths) = (Vec::new(), Vec::with_capacity(records.len()));
-        for (n, record) in records.iter().enumerate() {
-            let before = frames.len();
-            encode(&mut frames, first + n as u64, self.synced.get(), record);
-            lengths.push(frames.len() - before);
-        }
+        let (frames, lengths) = encode_all(first, self.synced.get(), &records);
         self.group.append(frames, lengths, first + records.len() as u64 - 1);
     }
 
