--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -323,12 +323,9 @@
 
     // ---- The cap ----
 
-    /// While the reports show free slots the cap climbs faster: a restarted or much cut dispatcher
-    /// would else refuse for a minute what the workers have room for.
     fn accepted(&mut self, slots: f64) {
         if self.out + slots > self.cap / 2.0 {
-            let free = self.mean_free.min(self.mean_slots).max(0.0);
-            self.cap += CAP_CLIMB * slots * (1.0 + free) * (0.5 + self.rng.f64());
+            self.cap += CAP_CLIMB * slots * (0.5 + self.rng.f64());
         }
     }
 
