--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -41,8 +41,6 @@
 const PACE_HOLDS: f64 = 8.0;
 /// A worker this much slower than the mean is given only jobs that still end in time there.
 const SLOW: f64 = 1.5;
-/// Share of a worker's slots that lower tiers leave to the top one (the paper's reserve capacity).
-const RESERVE: f64 = 0.16;
 /// Share of the slack from a job's own work that holding leaves unused: small jobs have less.
 const KEPT: f64 = 0.5;
 /// Random draws for a fitting pair, and held jobs looked past that found none.
@@ -155,8 +153,6 @@
         worker.free = free - unseen - report.backlog.unwrap_or(0.0);
         (worker.memory, worker.heard) = (report.free_memory, Some(self.now.saturating_sub(lag as Micros)));
         self.mean_free += LEARN * (free - self.mean_free);
-        let slots = report.outstanding.filter(|_| free >= 1.0).map_or(self.mean_slots, |held| free + held);
-        self.mean_slots += LEARN * (slots - self.mean_slots);
     }
 
     /// A worker that turned a job away or let it queue has no slot now, whatever it reported.
@@ -399,13 +395,12 @@
         let run = self.expected_run(r.class, w) * r.size;
         let (usual, aim) = (self.classes[r.class].run * r.size, r.aim_at as f64);
         let in_time = self.now as f64 + run <= aim || r.leave_by as f64 + usual > aim && run < SLOW * usual;
-        let reserve = if r.tier > 0 { RESERVE * self.mean_slots } else { 0.0 };
         let memory = self.freshness(w) < 0.5 || worker.memory.is_none_or(|m| m >= r.memory);
         // An own job that should have started and has not is waiting there.
         let queue = worker.unstarted > 0
             && worker.aside == 0.0
             && self.since(worker.last_sent) > QUEUED * self.slack(r.class);
-        let least = r.slots.clamp(1.0, CAP_START) + reserve;
+        let least = r.slots.clamp(1.0, CAP_START);
         let room = memory && !queue && self.expected_free(w) + worker.dither >= least;
         may && in_time && room && self.now >= self.workers[w].shun_until && self.cold_allows(w)
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -155,7 +155,6 @@
     pub(crate) warmth: f64,
     /// Learned means over the fleet.
     pub(crate) mean_free: f64,
-    pub(crate) mean_slots: f64,
     pub(crate) mean_run: f64,
     pub(crate) report_spans: f64,
     pub(crate) report_changes: f64,
