--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -31,8 +31,6 @@
 /// What a prompt start adds to the cap and a 'full' takes, per slot: it rests at a quarter late.
 const CAP_CLIMB: f64 = 0.1;
 const CAP_FALL: f64 = 0.3;
-/// The most that all 'full' answers of one round of feedback may take together.
-const CAP_ROUND_FALL: f64 = 0.15;
 /// Free slots a worker is taken to have where no reports come: with more, a full one is tried too soon.
 const UNTOLD: f64 = 4.0;
 /// The least cap, in slots: keeps feedback coming.
@@ -325,17 +323,15 @@
         }
     }
 
-    /// Guards against falling once for each of many 'full' answers that tell the same thing:
-    /// within one round of feedback, of jittered length, the cap falls by a bounded share. A cap
-    /// far above what is out comes down by half a round: after a restart little is out yet.
+    /// Each falls by a step. A cap far above what is out comes down by half, once in a round of feedback of
+    /// jittered length: after a restart little is out yet.
     fn not_accepted(&mut self, slots: f64) {
         if self.now >= self.round_until {
             self.round_until = self.now + (self.mean_run * (0.75 + 0.5 * self.rng.f64())) as Micros;
             self.cap = self.cap.min((self.out + slots + 1.0).max(self.cap / 2.0));
-            self.cap_floor = self.cap * (1.0 - CAP_ROUND_FALL);
             self.cap_dither = self.rng.f64();
         }
-        self.cap = (self.cap - CAP_FALL * slots).max(self.cap_floor).max(CAP_LEAST);
+        self.cap = (self.cap - CAP_FALL * slots).max(CAP_LEAST);
     }
 
     // ---- The pick ----
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -173,7 +173,6 @@
     pub(crate) busy: f64,
     pub(crate) busy_at: Micros,
     pub(crate) cap: f64,
-    pub(crate) cap_floor: f64,
     pub(crate) cap_dither: f64,
     pub(crate) round_until: Micros,
     /// What is left of each tenant's share here, and when that was counted.
