Tell what is open with the counts, and hold the models to it

Ruled out: a test of its own for each, as the random models of the module and the facade already play every order of events. Change: Dispatcher::accounts and Facade::accounts, a part 'Open' in the line of counts, and both models end with all accounts at zero.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -12,8 +12,10 @@
 
 use rustc_hash::FxHashMap;
 
+pub use crate::interface::{
+    Accounts, Condition, Ending, ListKind, Micros, Report, Settings, SettingsError, UNKNOWN,
+};
 use crate::interface::{Action, Earlier, Event, RequestId, Row, WorkerId};
-pub use crate::interface::{Condition, Ending, ListKind, Micros, Report, Settings, SettingsError};
 use crate::names::worker_id;
 use crate::Dispatcher;
 
@@ -304,6 +306,14 @@
         self.tally
     }
 
+    /// What is out or held; a req counts until its handler is gone and its fetches have ended.
+    pub fn accounts(&self) -> Accounts {
+        let inner = self.dispatcher.accounts();
+        let (requests, workers) =
+            (inner.requests.max(self.reqs.len()), inner.workers.max(self.backends.len()));
+        Accounts { requests, workers, ..inner }
+    }
+
     /// How many reqs were taken and have no final answer yet.
     pub fn owed(&self) -> usize {
         self.reqs.values().filter(|open| !open.over).count()
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -188,6 +188,9 @@
     Left,
 }
 
+/// The number of a zone, kind or cell that the settings don't know. Two of them may differ.
+pub const UNKNOWN: u32 = u32::MAX;
+
 /// One row of the list of workers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Row {
@@ -343,6 +346,21 @@
     Timer,
 }
 
+/// What is out or held. All but the workers are 0 once every request is answered and every attempt ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Accounts {
+    /// Requests that are owed an answer, or have attempts out.
+    pub requests: usize,
+    /// Requests that wait to be sent.
+    pub held: usize,
+    /// Attempts out, as counted for their workers.
+    pub attempts: usize,
+    /// Slots out, as counted against the cap and for their workers.
+    pub slots: f64,
+    /// Workers that are remembered, gone ones included.
+    pub workers: usize,
+}
+
 /// Something to do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -503,6 +503,18 @@
         s.cold_share + (1.0 - s.cold_share) * self.since(since) / s.ramp as f64
     }
 
+    /// What is out or held now, for whoever wants to see that all of it is given back.
+    pub fn accounts(&self) -> Accounts {
+        let attempts = self.workers.iter().map(|w| w.attempts.len() + w.open as usize + w.unstarted as usize);
+        Accounts {
+            requests: self.requests.len(),
+            held: self.held().0,
+            attempts: attempts.sum(),
+            slots: self.out + self.aside + self.workers.iter().map(|w| w.out + w.aside).sum::<f64>(),
+            workers: self.workers.len(),
+        }
+    }
+
     /// Sorts the active workers into the pools that picks draw from.
     pub(crate) fn refill_pools(&mut self) {
         self.live = (0..self.workers.len()).filter(|&w| self.workers[w].active).collect();
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -291,6 +291,8 @@
         assert_eq!(t.taken, t.served + t.synthetic + t.failed + t.gone);
         assert_eq!(t.fetches, t.ended.iter().sum::<u64>(), "a fetch without an end, or with two");
         assert_eq!((world.facade.owed(), t.broken), (0, 0));
+        let accounts = world.facade.accounts();
+        assert_eq!(accounts, Accounts { workers: 4, ..Accounts::default() }, "something was not given back");
         assert!(world.subscriptions > 0, "the list is asked for");
         Ok(())
     });
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -269,6 +269,8 @@
         steps.into_iter().for_each(|s| world.step(s));
         let end = world.now + 20_000 * MS;
         world.wait_until(end);
+        let accounts = world.dispatcher.accounts();
+        assert_eq!(accounts, Accounts { workers: 8, ..Accounts::default() }, "something was not given back");
         Ok(())
     });
     outcome.expect("the rules hold");
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -198,6 +198,11 @@
         self.all.borrow().values().filter(|b| b.ready).count()
     }
 
+    /// Sockets to backends that are open or being opened.
+    pub(crate) fn sockets(&self) -> usize {
+        self.open.get()
+    }
+
     /// Where a backend was last, ready or not: only what asks it for nothing new goes there.
     fn last_address(&self, name: &str) -> Option<SocketAddr> {
         self.all.borrow().get(name).map(|b| b.address)
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -352,8 +352,19 @@
     bodies: Cell<usize>,
 }
 
-/// What one req holds of these.
-struct Held {
+impl Open {
+    pub(super) fn ids(&self) -> usize {
+        self.ids.borrow().len()
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bodies.get()
+    }
+}
+
+/// What one req holds of these, for as long as its handler or a fetch has its order: where attempts may
+/// not be cancelled, a fetch outlives its client.
+pub(crate) struct Held {
     net: Rc<Net>,
     id: Option<HeaderValue>,
     body: usize,
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -25,7 +25,7 @@
 use tracing::{info, warn};
 
 use crate::config::{self, Config};
-use oakshed_core::facade::{Facade, Micros, Seen, Step};
+use oakshed_core::facade::{Accounts, Facade, Micros, Seen, Step};
 
 /// How long after SIGTERM the platform may still bring reqs that must be answered, whatever else: its
 /// front sends some for 0.4 s, and clients use their connections until these are closed.
@@ -265,7 +265,15 @@
 
 fn summary(net: &Net) -> String {
     let jobs = net.durable.as_ref().map(durable::Durable::summary).unwrap_or_default();
-    format!("{} {:?}{jobs}", net.facade.borrow().tally(), net.counters.borrow())
+    let facade = net.facade.borrow();
+    let Accounts { requests, held, attempts, slots, workers } = facade.accounts();
+    let (ids, bytes, sockets) = (net.open.ids(), net.open.bytes(), net.backends.sockets());
+    format!(
+        "{} {:?} Open {{ reqs: {requests}, held: {held}, attempts: {attempts}, slots: {slots}, ids: {ids}, \
+         body_bytes: {bytes}, backend_sockets: {sockets}, backends: {workers} }}{jobs}",
+        facade.tally(),
+        net.counters.borrow()
+    )
 }
 
 async fn log_counters(net: Rc<Net>) {
