Take zones that the settings don't know for no one's group

Ruled out: the list's reader, which cannot know more. Lines at fault: state.rs, same_group. Change: an unknown zone is nobody's group. Measured: the extended test of groups sends again without the change, and does not with it.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -305,9 +305,9 @@
         let ended = |e: &Earlier| {
             let unlisted = Row {
                 worker: e.worker,
-                zone: u32::MAX,
-                kind: u32::MAX,
-                cell: u32::MAX,
+                zone: UNKNOWN,
+                kind: UNKNOWN,
+                cell: UNKNOWN,
                 condition: Condition::Left,
                 online_since: 0,
             };
@@ -451,13 +451,15 @@
         (c.effect == Effect::Keyed).then_some((c.scope, first.worker))
     }
 
-    /// Whether two workers drop repeats of the same keyed request.
+    /// Whether two workers drop repeats of the same keyed request. Two zones that the settings don't
+    /// know have the same number, and may be two.
     pub(crate) fn same_group(&self, scope: Scope, a: usize, b: usize) -> bool {
         let (a, b) = (&self.workers[a], &self.workers[b]);
+        let same_zone = a.zone == b.zone && a.zone != UNKNOWN;
         match scope {
             Scope::All => true,
-            Scope::Zone => a.zone == b.zone,
-            Scope::Cell => (a.zone, a.cell) == (b.zone, b.cell),
+            Scope::Zone => same_zone,
+            Scope::Cell => same_zone && a.cell == b.cell,
         }
     }
 
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -211,6 +211,17 @@
     let first = sent(&actions, id).expect("sent");
     let again = sent(&bench.settled(id, 0, Ending::Dropped), id).expect("keyed is sent again");
     assert_eq!(first.0 / 3, again.0 / 3, "within the cell that drops its repeats");
+    // Zones of which the settings know no name share a number, and may be two.
+    for scope in [Scope::Zone, Scope::Cell] {
+        let mut unknown = settings();
+        unknown.classes[2].scope = scope;
+        let mut bench = Bench::new(unknown, 0);
+        let rows: Vec<Row> = (0..6).map(|w| Row { zone: UNKNOWN, cell: 0, ..row(w) }).collect();
+        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+        let (id, actions) = bench.request(2);
+        assert!(sent(&actions, id).is_some());
+        assert!(sent(&bench.settled(id, 0, Ending::Dropped), id).is_none(), "{scope:?}");
+    }
 }
 
 #[test]
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use oakshed_core::facade::{Condition, Entry};
+use oakshed_core::facade::{Condition, Entry, UNKNOWN};
 use oakshed_wire::Names;
 use serde::Deserialize;
 
@@ -50,9 +50,8 @@
 impl Instance {
     /// The entry with its names resolved to the settings' places.
     pub fn entry(&self, names: &Names) -> Entry {
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).map_or(u32::MAX, |i| i as u32)
-        };
+        let place =
+            |names: &[String], name: &str| names.iter().position(|n| n == name).map_or(UNKNOWN, |i| i as u32);
         Entry {
             backend: self.instance_id.clone(),
             zone: place(&names.zones, &self.zone),
