Leave a pause between calls for the list, whatever the settings say

Ruled out: the watch on sockets, whose pause is for answers and not for failures. Lines at fault: decide.rs, on_list. Change: a gap of 20 ms at least.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -53,6 +53,8 @@
 /// Ticks for which probe results are used, and between rounds of probes.
 const PROBE_FRESH: u64 = 5;
 const PROBE_GAP: u64 = 4;
+/// The least gap between two calls for the list, in microseconds, whatever the settings say.
+const LEAST_ASK_GAP: Micros = 20_000;
 
 impl Dispatcher {
     /// A dispatcher that knows nothing yet; `seed` is its only source of randomness.
@@ -550,9 +552,9 @@
     fn on_list(&mut self, kind: ListKind, rows: &[Row]) {
         if kind == ListKind::Refused {
             // Doubling, jittered gaps, well within the time after which it is deemed told.
-            let gap = (self.settings.ask_every >> 6 << self.ask_failures.min(4)) as f64;
+            let gap = (self.settings.ask_every >> 6 << self.ask_failures.min(4)).max(LEAST_ASK_GAP) as f64;
             self.ask_at = self.now + (gap * (0.5 + self.rng.f64())) as Micros;
-            self.ask_failures += 1;
+            self.ask_failures = self.ask_failures.saturating_add(1);
             return;
         }
         self.ask_failures = 0;
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -281,6 +281,22 @@
     }
 }
 
+/// Guards against calls that chase each other at a director that is down, where the settings say nothing of
+/// how often to ask: the list is pushed on the simulator's wire, and still watched on sockets.
+#[test]
+fn a_list_that_is_refused_at_once_is_not_asked_for_without_pause() {
+    let mut bench = Bench::new(Settings { ask_every: 0, ..settings() }, 3);
+    bench.event(Event::List { kind: ListKind::Refused, rows: &[] });
+    let mut asked = 0;
+    for _ in 0..1_000 {
+        if bench.wait(MS).contains(&Action::Subscribe) {
+            asked += 1;
+            bench.event(Event::List { kind: ListKind::Refused, rows: &[] });
+        }
+    }
+    assert!((10..=100).contains(&asked), "{asked} calls in a second");
+}
+
 #[test]
 fn a_refused_subscription_is_asked_for_again_and_the_list_kept() {
     let mut bench = Bench::new(Settings { list_on_request: true, ..settings() }, 3);
