Refuse settings that are negative, doubled, overlong or contradicting

Ruled out: a schema, as other sites send keys that we don't know. Lines at fault: wire/settings.rs, config.rs, Settings::check. Change: each is refused in one line with its place, by both programs; what other sites send still loads.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -239,7 +239,7 @@
         // A hint tells the job's own work, rough as it may be; else the class's mean stands for it.
         r.size = r.hint.map_or(1.0, |hint| belief.size(hint, LEARN));
         let (work, run) = (r.hint.unwrap_or(belief.work), belief.run * r.size);
-        r.aim_at = (first_try + c.aim + (c.stretch * work) as Micros).min(r.deadline);
+        r.aim_at = (first_try + c.aim).saturating_add((c.stretch * work) as Micros).min(r.deadline);
         // Two ticks early, so that the answer is out before the aim passes. When all is slow, jobs
         // with little work can still be in time: they get a moment to find a worker.
         let kept = run + KEPT * (c.stretch - 1.0).max(0.0) * work;
@@ -441,7 +441,7 @@
         let Some(class) = self.open_attempt(id, w) else { return };
         let s = &self.settings;
         if s.second_copies && s.tells_start && s.classes[class].effect != Effect::Unsafe {
-            self.checks.push(Reverse((self.now + (LATE * self.slack(class)) as Micros, id)));
+            self.checks.push(Reverse((self.now.saturating_add((LATE * self.slack(class)) as Micros), id)));
         }
         let r = &self.requests[&id];
         let cost = r.slots * r.size * self.expected_run(class, w);
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -204,7 +204,7 @@
             steps: VecDeque::new(),
             waker: None,
             fetches: vec![None; earlier.len()],
-            deadline: now + job.remaining,
+            deadline: now.saturating_add(job.remaining),
             over: false,
             closed: false,
         };
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -6,6 +6,8 @@
 //! and the program does not start.
 
 use std::fmt::Display;
+use std::fs::File;
+use std::io::{self, Read as _};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -22,7 +24,13 @@
 const LEAST_SOCKETS: usize = 64;
 
 /// The memory that it takes to be allowed where the file doesn't say.
-const LEAST_MEMORY_MB: usize = 32;
+const USUAL_MEMORY_MB: usize = 32;
+/// The least memory in which anything can be served, and the most that any machine has: what is larger
+/// is a mistake, and its bytes might not be a number here.
+const LEAST_MEMORY_MB: usize = 4;
+const MOST_MEMORY_MB: usize = 1 << 24;
+/// How much of the file is read: what goes on behind is cut off, and can't be used.
+const LARGEST_FILE: u64 = 4 << 20;
 /// The variable with the director's address.
 pub(crate) const DISCOVERY: &str = "ROUTER_DISCOVERY";
 
@@ -52,7 +60,7 @@
 }
 
 #[derive(Deserialize)]
-struct File<'a> {
+struct Form<'a> {
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
@@ -70,20 +78,28 @@
     memory_mb: Option<usize>,
 }
 
+/// The text of a file. Guards against a wrong one that does not fit into the memory: it would end the program
+/// at a reload.
+fn read_file(path: &str) -> io::Result<String> {
+    let mut text = String::new();
+    File::open(path)?.take(LARGEST_FILE).read_to_string(&mut text)?;
+    Ok(text)
+}
+
 impl Config {
     /// Reads the environment (`var` looks a variable up) and the file that it names. A variable
     /// counts before the same value in the file. `operator` is the path of the operator's file.
     pub fn read(var: impl Fn(&str) -> Option<String>, operator: Option<&str>) -> Result<Config, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
         let wrong = |what: &dyn Display| format!("ROUTER_CONFIG {path}: {what}").replace('\n', " ");
-        let text = std::fs::read_to_string(&path).map_err(|e| wrong(&e))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
+        let text = read_file(&path).map_err(|e| wrong(&e))?;
+        let file: Form = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
         let address = |variable: &str, field: &str, in_file: &Option<String>| {
             let (name, value) = match var(variable) {
                 Some(value) => (variable, value),
                 None => (field, in_file.clone().ok_or(format!("neither {variable} nor '{field}' is given"))?),
             };
-            value.parse().map_err(|_| format!("{name} is not an address and port: '{value}'"))
+            value.parse().map_err(|_| format!("{name} is not an address and port: {value:?}"))
         };
         let seed = file.seed.ok_or_else(|| wrong(&"no 'seed'"))?;
         let limits = file.limits.unwrap_or_default();
@@ -91,20 +107,36 @@
         if sockets < LEAST_SOCKETS {
             return Err(wrong(&format_args!("limits.sockets {sockets} is under {LEAST_SOCKETS}")));
         }
+        let memory = limits.memory_mb.unwrap_or(USUAL_MEMORY_MB);
+        if !(LEAST_MEMORY_MB..=MOST_MEMORY_MB).contains(&memory) {
+            let range = format_args!("{LEAST_MEMORY_MB} to {MOST_MEMORY_MB}");
+            return Err(wrong(&format_args!("limits.memory_mb {memory} is not in {range}")));
+        }
         let known = file.known.map(|raw| Answer::parse(raw.get().as_bytes()));
         let settings = file.settings.ok_or_else(|| wrong(&"no 'settings'"))?;
         let (settings, names) = oakshed_wire::settings_and_names(settings.get()).map_err(|e| wrong(&e))?;
+        let operator = operator.map_or(Ok(Operator::default()), Operator::read)?;
+        let taken = |name: &str| name == "ready" || name == "jobs" && operator.jobs.is_some();
+        // A class is the first part of a path: what cannot be one, or is another one, gets no req.
+        let no_path = |name: &&String| {
+            name.is_empty()
+                || taken(name)
+                || !name.bytes().all(|b| b.is_ascii_graphic() && !b"/?#%".contains(&b))
+        };
+        if let Some(name) = names.classes.iter().find(no_path) {
+            return Err(wrong(&format_args!("settings: categories: {name:?} cannot be a class's name")));
+        }
         Ok(Config {
             name: var("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".into()),
             listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
             director: address(DISCOVERY, "discovery", &file.discovery)?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong(&"'seed' is not a hexadecimal number"))?,
             sockets,
-            memory: limits.memory_mb.unwrap_or(LEAST_MEMORY_MB) << 20,
+            memory: memory << 20,
             known: known.transpose().map_err(|e| wrong(&format_args!("known: {e}")))?,
             settings,
             names: Rc::new(names),
-            operator: operator.map_or(Ok(Operator::default()), Operator::read)?,
+            operator,
         })
     }
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -1,6 +1,7 @@
 //! The reader of the settings in the simulator's form (`boot-info`), which the platform's configuration
 //! holds too. It owns the form and its units, and must never guess what a setting that it needs is.
 
+use std::collections::BTreeSet;
 use std::io;
 
 use oakshed_core::interface::*;
@@ -114,6 +115,45 @@
     cross_zone: f64,
 }
 
+/// The longest time that a setting may hold, a year: longer ones are a mistake, and sums of them run over.
+const LONGEST_MS: f64 = 366.0 * 86_400_000.0;
+
+/// A time in the settings. Guards against one that is negative, which would be read as none.
+fn span(place: &str, ms: f64) -> io::Result<Micros> {
+    match (0.0..=LONGEST_MS).contains(&ms) {
+        true => Ok(micros(ms)),
+        false => Err(bad(format_args!("boot-info: {place} must be 0 to {LONGEST_MS}, not {ms}"))),
+    }
+}
+
+/// One of the words that a setting may hold; where it is absent, it is empty.
+fn word<T: Copy>(place: &str, told: &str, known: &[(&str, T)]) -> io::Result<T> {
+    let unknown = || {
+        let words: Vec<_> = known.iter().map(|(w, _)| *w).filter(|w| !w.is_empty()).collect();
+        bad(format_args!("boot-info: {place} must be one of {}, not '{told}'", words.join(", ")))
+    };
+    known.iter().find(|(w, _)| *w == told).map(|(_, value)| *value).ok_or_else(unknown)
+}
+
+/// Names by which the settings' places are found. Guards against two places with one name: what is meant
+/// for the second would be taken for the first, with another effect.
+fn distinct<'a>(place: &str, names: impl Iterator<Item = &'a String>) -> io::Result<()> {
+    let mut seen = BTreeSet::new();
+    match names.filter(|n| !n.is_empty()).find(|n| !seen.insert(*n)) {
+        Some(twice) => Err(bad(format_args!("boot-info: {place} has '{twice}' twice"))),
+        None => Ok(()),
+    }
+}
+
+/// Figures for each class. Guards against a list of another length, in which they stand for others.
+fn for_each_class(place: &str, figures: usize, classes: usize) -> io::Result<()> {
+    match figures {
+        0 => Ok(()),
+        n if n == classes => Ok(()),
+        n => Err(bad(format_args!("boot-info: {place} has {n} figures for {classes} classes"))),
+    }
+}
+
 /// Milliseconds on the wire to microseconds; what is not a positive number counts as 0.
 pub fn micros(ms: f64) -> Micros {
     (ms * 1000.0).round().max(0.0) as Micros
@@ -145,62 +185,78 @@
 pub fn settings_and_names(boot_info: &str) -> io::Result<(Settings, Names)> {
     let boot: Boot = serde_json::from_str(boot_info).map_err(|e| bad(format_args!("boot-info: {e}")))?;
     let family = &boot.family_info;
+    let classes = boot.categories.len();
+    for_each_class("family-info.class-kind", family.class_kind.len(), classes)?;
+    for_each_class("family-info.class-priority", family.class_priority.len(), classes)?;
+    for_each_class("family-info.class-stretch", family.class_stretch.len(), classes)?;
+    let kinds = boot.machine_types.len() as i64;
+    if let Some(kind) = family.class_kind.iter().find(|&&k| k < -1 || kinds > 0 && k >= kinds) {
+        return Err(bad(format_args!(
+            "boot-info: family-info.class-kind {kind} is none of {kinds} machine-types"
+        )));
+    }
+    if !boot.azs.is_empty() && boot.az as usize >= boot.azs.len() {
+        return Err(bad(format_args!("boot-info: az {} is none of {} azs", boot.az, boot.azs.len())));
+    }
+    distinct("categories", boot.categories.iter().map(|c| &c.name))?;
+    distinct("tenants", boot.tenants.iter().map(|t| &t.name))?;
+    distinct("azs", boot.azs.iter())?;
+    distinct("machine-types", boot.machine_types.iter())?;
     let class = |(i, c): (usize, &Category)| -> io::Result<Class> {
-        let effect = match c.idempotency.as_str() {
-            "free" => Effect::Safe,
-            "guarded" => Effect::Keyed,
-            "single_shot" => Effect::Unsafe,
-            other => return Err(bad(format_args!("boot-info: unknown idempotency '{other}'"))),
-        };
-        // An unknown scope is read as the narrowest, which can break no rule.
-        let scope = match c.dedup_scope.as_str() {
-            "all" => Scope::All,
-            "zone" => Scope::Zone,
-            _ => Scope::Cell,
-        };
+        let at = |field: &str| format!("categories[{i}].{field}");
+        let effects = [("free", Effect::Safe), ("guarded", Effect::Keyed), ("single_shot", Effect::Unsafe)];
+        let effect = word(&at("idempotency"), &c.idempotency, &effects)?;
+        // An absent scope is read as the narrowest, which can break no rule.
+        let scopes = [("", Scope::Cell), ("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)];
+        let scope = word(&at("dedup-scope"), &c.dedup_scope, &scopes)?;
         Ok(Class {
-            aim: micros(c.aim_ms),
+            aim: span(&at("aim-ms"), c.aim_ms)?,
             stretch: family.class_stretch.get(i).copied().unwrap_or(c.aim_stretch),
-            deadline: micros(c.give_up_ms),
+            deadline: span(&at("give-up-ms"), c.give_up_ms)?,
             worth: c.importance,
             priority: family.class_priority.get(i).copied().unwrap_or(0),
             effect,
             scope,
-            window: micros(c.memory_span_ms),
+            window: span(&at("memory-span-ms"), c.memory_span_ms)?,
             kind: family.class_kind.get(i).and_then(|&k| u32::try_from(k).ok()),
         })
     };
+    let modes = [("", false), ("pushed", false), ("on_request", true)];
+    let orders = [("", false), ("fifo", true), ("backfill", false), ("priority", false)];
+    let hows = [
+        ("", Reports::None),
+        ("none", Reports::None),
+        ("answers", Reports::Answers),
+        ("probe", Reports::Probe),
+    ];
     let settings = Settings {
         dispatchers: boot.balancers,
         zone: boot.az,
         classes: boot.categories.iter().enumerate().map(class).collect::<io::Result<_>>()?,
         tenants: boot.tenants.iter().map(|t| t.quota_rps).collect(),
-        list_on_request: boot.membership_mode == "on_request",
-        ask_every: micros(boot.obligations.ask_every_ms),
+        list_on_request: word("membership-mode", &boot.membership_mode, &modes)?,
+        ask_every: span("obligations.ask-every-ms", boot.obligations.ask_every_ms)?,
         tells_start: family.tells_start,
-        in_order: boot.family_info.queue_order == "fifo",
-        progress_every: micros(family.progress_ms),
-        reports: match boot.load_info.how.as_str() {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probe,
-            _ => Reports::None,
-        },
+        in_order: word("family-info.queue-order", &family.queue_order, &orders)?,
+        progress_every: span("family-info.progress-ms", family.progress_ms)?,
+        reports: word("load-info.how", &boot.load_info.how, &hows)?,
         may_probe: boot.limits.may_probe,
         may_cancel: boot.limits.cancelling,
         second_copies: boot.limits.second_copies,
         retry_after: boot.limits.retry_after,
-        max_retry_after: micros(boot.limits.max_retry_after_ms),
+        max_retry_after: span("limits.max-retry-after-ms", boot.limits.max_retry_after_ms)?,
         max_attempts: boot.limits.max_attempts,
-        idle_close: micros(boot.limits.idle_close_ms),
-        connect_timeout: micros(boot.limits.connect_timeout_ms),
+        idle_close: span("limits.idle-close-ms", boot.limits.idle_close_ms)?,
+        connect_timeout: span("limits.connect-timeout-ms", boot.limits.connect_timeout_ms)?,
         handshake_price: boot.prices.handshake,
         cross_price: boot.prices.cross_zone,
-        tick: micros(boot.resolution_ms),
+        tick: span("resolution-ms", boot.resolution_ms)?,
         cold_share: boot.obligations.cold_share,
-        ramp: micros(boot.obligations.ramp_time_ms),
+        ramp: span("obligations.ramp-time-ms", boot.obligations.ramp_time_ms)?,
         fall_multiple: boot.obligations.fall_multiple,
-        fall_span: micros(boot.obligations.fall_ms),
+        fall_span: span("obligations.fall-ms", boot.obligations.fall_ms)?,
     };
+    settings.check().map_err(bad)?;
     let names = Names {
         classes: boot.categories.into_iter().map(|c| c.name).collect(),
         tenants: boot.tenants.into_iter().map(|t| t.name).collect(),
