Hold a req's id and the room for its body as long as a fetch has them

Ruled out: the facade, which waits for the fetch's end. Lines at fault: front.rs, Handler. Change: the order carries them, and a fetch lets go of it when it has ended.

--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -292,6 +292,8 @@
     pub body: Bytes,
     /// When the client gives up, or this program has to end.
     pub deadline: Micros,
+    /// The id and the room for the body, which are given back with the last copy of this.
+    pub _held: Option<super::front::Held>,
 }
 
 impl Order {
@@ -392,6 +394,7 @@
             _ = tx.send(result);
         }
         whose.ended(&net, ending, result, load);
+        drop(order); // what is left is the connection's affair
         if let Some((link, body)) = rest {
             _ = timeout(REST, finish(&net, &to, link, body)).await;
         }
--- a/crates/server/src/net/durable.rs
+++ b/crates/server/src/net/durable.rs
@@ -242,7 +242,7 @@
         let req_id = HeaderName::from_static("req-id");
         let id = headers.get(&req_id).cloned().unwrap_or_else(|| HeaderValue::from_static("-"));
         let body = Bytes::copy_from_slice(&order.body);
-        Order { method: Method::POST, target, headers, id, body, deadline: until }
+        Order { method: Method::POST, target, headers, id, body, deadline: until, _held: None }
     }
 
     fn wait_for(&self, id: JobId) -> oneshot::Receiver<News> {
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -342,7 +342,7 @@
         net.count(|c| &mut c.bad_reqs);
         return plain(StatusCode::CONFLICT, "another open req has this Req-Id\n");
     }
-    handle(net, &job, Rc::new(order), held).await
+    handle(net, &job, Rc::new(Order { _held: Some(held), ..order })).await
 }
 
 /// The ids of the open reqs, and the bytes of their bodies and of those under way.
@@ -507,7 +507,7 @@
     }
     // A durable job outlives a stop; only its client's wait is cut.
     let deadline = if net.durable.is_some() { deadline } else { net.bounded(arrived, deadline) };
-    Ok((job, Order { method: head.method, target, headers, id, body, deadline }, held))
+    Ok((job, Order { method: head.method, target, headers, id, body, deadline, _held: None }, held))
 }
 
 /// A req from its arrival to its answer. Where its client goes away first, hyper drops it, and
@@ -516,7 +516,6 @@
     net: &'a Rc<Net>,
     req: Req,
     fetches: Vec<Fetch>,
-    _held: Held,
 }
 
 impl Drop for Handler<'_> {
@@ -526,9 +525,9 @@
     }
 }
 
-async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>, held: Held) -> Response<Full<Bytes>> {
+async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>) -> Response<Full<Bytes>> {
     let req = net.facade.borrow_mut().take(net.clock.now(), job);
-    let mut handler = Handler { net, req, fetches: Vec::new(), _held: held };
+    let mut handler = Handler { net, req, fetches: Vec::new() };
     loop {
         match net.pick(req).await {
             Step::Fetch { fetch, backend, until } => {
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -167,6 +167,11 @@
         Director { peer, told, spoilt }
     }
 
+    /// The number of the list that it tells now.
+    pub fn number(&self) -> u64 {
+        self.told.0.lock().unwrap().0
+    }
+
     /// The backend is at another address from now on.
     pub fn move_to(&self, name: &str, at: SocketAddr) {
         let mut told = self.told.0.lock().unwrap();
