Forget backends that are long gone

Ruled out: dropping them with the list, as what may have run there still counts for its group. Lines at fault: state.rs enter, facade.rs on_list, backends.rs update, machine.rs on_list. Change: beyond 4,096 beside the active ones, those of which nothing is out or remembered by a req are forgotten.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -19,6 +19,9 @@
 use crate::names::worker_id;
 use crate::Dispatcher;
 
+/// The least number of backends' names at which it looks which of them are of use.
+const NAMES_KEPT: usize = 4_096;
+
 /// A req that was taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Req(u64);
@@ -335,6 +338,11 @@
             self.must(same, "two backends share a number");
         }
         self.feed(now, Event::List { kind, rows: &rows });
+        // Guards against names of backends that are long gone: the decisions have forgotten these.
+        if self.backends.len() > 2 * self.dispatcher.accounts().workers.max(NAMES_KEPT) {
+            let dispatcher = &self.dispatcher;
+            self.backends.retain(|worker, _| dispatcher.knows(*worker));
+        }
     }
 
     /// Takes the end of a fetch; tells whether it was still out. It may end on its own in the moment
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -9,6 +9,8 @@
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
 const RING_PLACES: u64 = 32;
+/// Workers that are gone are remembered up to this number beside the active ones.
+const GONE_KEPT: usize = 4_096;
 /// The longest time that a setting may hold, a year. Guards against sums of times that run over.
 const LONGEST: Micros = 366 * 24 * 3_600 * 1_000_000;
 /// The most that a setting that multiplies may be.
@@ -509,6 +511,11 @@
         s.cold_share + (1.0 - s.cold_share) * self.since(since) / s.ramp as f64
     }
 
+    /// Whether a worker is remembered: an active one always is.
+    pub fn knows(&self, worker: WorkerId) -> bool {
+        self.index.contains_key(&worker)
+    }
+
     /// What is out or held now, for whoever wants to see that all of it is given back.
     pub fn accounts(&self) -> Accounts {
         let attempts = self.workers.iter().map(|w| w.attempts.len() + w.open as usize + w.unstarted as usize);
@@ -521,8 +528,32 @@
         }
     }
 
+    /// Forgets workers that are gone and of which nothing is known that counts, where they have become
+    /// many. Guards against a fleet whose machines are replaced for months, each with a new id.
+    fn forget_gone(&mut self) {
+        let active = self.workers.iter().filter(|w| w.active).count();
+        if self.workers.len() <= 2 * active + GONE_KEPT {
+            return;
+        }
+        let mut kept: Vec<bool> = self.workers.iter().map(|w| w.active).collect();
+        self.requests.values().flat_map(|r| &r.attempts).for_each(|a| kept[a.worker] = true);
+        let mut place = vec![None; kept.len()];
+        for (w, worker) in std::mem::take(&mut self.workers).into_iter().enumerate().filter(|(w, _)| kept[*w])
+        {
+            place[w] = Some(self.workers.len());
+            self.workers.push(worker);
+        }
+        let moved = |w: &mut usize| place[*w].inspect(|to| *w = *to).is_some();
+        self.index.retain(|_, w| moved(w));
+        self.watched.retain_mut(|(_, w)| moved(w));
+        self.probed.retain_mut(|w| moved(w));
+        let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
+        attempts.for_each(|a| _ = moved(&mut a.worker));
+    }
+
     /// Sorts the active workers into the pools that picks draw from.
     pub(crate) fn refill_pools(&mut self) {
+        self.forget_gone();
         self.live = (0..self.workers.len()).filter(|&w| self.workers[w].active).collect();
         let near = |w: &usize| self.workers[*w].zone == self.settings.zone;
         self.near = self.live.iter().copied().filter(near).collect();
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -41,6 +41,8 @@
 const GRACE: Micros = 2_000_000;
 /// Records by which the log's old end moves on at least.
 const TRIM_STEP: u64 = 64;
+/// Workers' starts that are remembered.
+const STARTS_KEPT: usize = 8_192;
 /// Finished jobs that are forgotten at one call, so that none takes long.
 const FORGET: usize = 256;
 
@@ -688,9 +690,12 @@
         facade: &mut Facade,
     ) {
         self.now = now;
-        for (worker, start) in starts {
-            self.starts.insert(worker.clone(), start);
+        // Guards against a fleet whose machines are replaced for months. A start that is forgotten counts
+        // as long ago: its worker is believed less.
+        if self.starts.len() > STARTS_KEPT {
+            self.starts.clear();
         }
+        self.starts.extend(starts.map(|(worker, start)| (worker.clone(), start)));
         if fresh && !self.fresh {
             self.fresh = true;
             let past: Vec<JobId> = self.open.values().chain(self.doubtful.values()).copied().collect();
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -47,6 +47,8 @@
 const LEAST_KEPT: Micros = 10_000;
 /// Between two looks at the idle connections.
 const SWEEP: Duration = Duration::from_millis(250);
+/// Backends that are not ready are remembered up to this number beside those that are.
+const GONE_KEPT: usize = 4_096;
 
 static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
 pub(super) static LEASE_ID: HeaderName = HeaderName::from_static("lease-id");
@@ -192,6 +194,10 @@
             backend.ready = entry.condition == Condition::Active;
         }
         all.values_mut().filter(|b| !b.ready).for_each(|b| b.idle.clear());
+        // Guards against a fleet whose machines are replaced for months, each with a new id.
+        if all.len() > 2 * all.values().filter(|b| b.ready).count() + GONE_KEPT {
+            all.retain(|_, b| b.ready);
+        }
     }
 
     pub(crate) fn ready_count(&self) -> usize {
