Count every job for 1 to 1,024 slots

Ruled out: the front, as the wire and durable jobs bring slots too. Lines at fault: state.rs, Request::new. Change: a job counts for 1 to 1,024. Measured: jobs of 0 slots now get as many sends to a cold worker as jobs of 1; accounts are zero after one of 1e300. The table of settings that the module refuses is here too.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -9,6 +9,9 @@
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
 const RING_PLACES: u64 = 32;
+/// The most slots that a job is taken to need. Guards against a figure beside which sums of slots lose
+/// all others: they would not come back to what they were when the job ends.
+const MOST_SLOTS: f64 = 1_024.0;
 /// Workers that are gone are remembered up to this number beside the active ones.
 const GONE_KEPT: usize = 4_096;
 /// The longest time that a setting may hold, a year. Guards against sums of times that run over.
@@ -105,11 +108,12 @@
 }
 
 impl Request {
-    /// A request just come in. Sizes that are no sizes count as absent.
+    /// A request just come in. Sizes that are no sizes count as absent. A job takes one slot at least:
+    /// guards against jobs of none, which no cap and no cold worker's budget would count.
     pub(crate) fn new(class: u32, slots: f64, memory: f64, key: Option<u64>, hint: Option<Micros>) -> Self {
         let size = |x: f64, or: f64| if x.is_finite() && x >= 0.0 { x } else { or };
-        let (slots, memory) = (size(slots, 1.0), size(memory, 0.0));
-        let (class, hint, size) = (class as usize, hint.map(|h| h as f64), 1.0);
+        let (slots, memory) = (size(slots, 1.0).clamp(1.0, MOST_SLOTS), size(memory, 0.0));
+        let (class, hint, size) = (class as usize, hint.map(|h| h.min(LONGEST) as f64), 1.0);
         Request { class, slots, memory, key, hint, size, ..Request::default() }
     }
 }
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -395,11 +395,96 @@
 
 #[test]
 fn settings_that_cannot_be_used_are_named() {
-    let wrong = Settings { dispatchers: 0, ..settings() };
-    let error = Dispatcher::new(wrong, 1).err().expect("refused");
-    assert_eq!(error.name, "dispatchers");
-    let error = Dispatcher::new(Settings::default(), 1).err().expect("refused");
-    assert_eq!(error.name, "classes");
+    let with = |change: fn(&mut Settings)| {
+        let mut wrong = settings();
+        change(&mut wrong);
+        wrong
+    };
+    let wrong: [(Settings, &str); 14] = [
+        (Settings::default(), "classes"),
+        (with(|s| s.dispatchers = 0), "dispatchers"),
+        (with(|s| s.max_attempts = 0), "max_attempts"),
+        (with(|s| s.classes[1].worth = f64::NAN), "classes"),
+        (with(|s| s.classes[1].stretch = -1.0), "classes"),
+        (with(|s| s.classes[1].aim = 0), "classes"),
+        (with(|s| s.classes[1].deadline = 0), "classes"),
+        (with(|s| s.classes[1].window = u64::MAX), "classes"),
+        (with(|s| s.idle_close = u64::MAX), "times"),
+        (with(|s| (s.list_on_request, s.ask_every) = (true, 0)), "ask_every"),
+        (with(|s| s.cold_share = 1.5), "cold_share"),
+        (with(|s| s.fall_multiple = f64::INFINITY), "fall_multiple"),
+        (with(|s| s.tenants = vec![1.0, -1.0]), "tenants"),
+        (with(|s| s.cross_price = f64::NAN), "cross_price"),
+    ];
+    for (n, (settings, name)) in wrong.into_iter().enumerate() {
+        let error = Dispatcher::new(settings, 1).err().unwrap_or_else(|| panic!("{n}: {name} was taken"));
+        assert_eq!(error.name, name, "{n}");
+    }
+}
+
+/// Guards against figures that the accounts don't survive: a job of no slots is one that neither the cap
+/// nor a cold worker's budget counts, and beside one of 1e300 a sum loses all others.
+#[test]
+fn what_a_client_says_of_its_slots_breaks_no_account() {
+    let sent_cold = |slots: f64| {
+        let mut bench = Bench::new(settings(), 0);
+        let cold = Row { online_since: START, ..row(0) };
+        bench.event(Event::List { kind: ListKind::All, rows: &[cold] });
+        let mut sends = 0;
+        for _ in 0..400 {
+            let (id, actions) = bench.wide_request(0, slots);
+            if sent(&actions, id).is_some() {
+                sends += 1;
+                bench.started(id, 0);
+                bench.settled(id, 0, Ending::Delivered);
+            }
+            bench.now += 5 * MS;
+        }
+        sends
+    };
+    let usual = sent_cold(1.0);
+    for slots in [0.0, 1e-9, -1.0, f64::NAN] {
+        assert_eq!(sent_cold(slots), usual, "sends of {slots} slots to a cold worker");
+    }
+    let mut bench = Bench::new(Settings { reports: Reports::Answers, ..settings() }, 2);
+    let report = |n: u32| Some(Report { free_slots: Some(30.0 + f64::from(n)), ..Report::default() });
+    for n in 0..80 {
+        let (id, _) = bench.request(0);
+        bench.now += 10 * MS;
+        let (ending, finished) = (Ending::Delivered, true);
+        bench.event(Event::Settled { id, attempt: 0, ending, finished, report: report(n) });
+    }
+    let (huge, actions) = bench.wide_request(0, 1e300);
+    assert!(sent(&actions, huge).is_some(), "a wide job finds a worker");
+    let (small, _) = bench.request(0);
+    let out = bench.dispatcher.accounts().slots;
+    assert!(out.is_finite() && out < 1e6, "{out} slots out");
+    bench.settled(huge, 0, Ending::Delivered);
+    bench.settled(small, 0, Ending::Delivered);
+    assert_eq!(bench.dispatcher.accounts(), Accounts { workers: 2, ..Accounts::default() });
+}
+
+/// Guards against a table of workers, and of their names, that grows for as long as machines are replaced.
+#[test]
+fn workers_long_gone_are_forgotten_and_what_is_out_there_is_not() {
+    let mut bench = Bench::new(settings(), 3);
+    let (id, actions) = bench.request(2);
+    let first = sent(&actions, id).expect("sent");
+    for n in 1..300 {
+        let rows: Vec<Row> = (100 * n..100 * n + 100).map(row).collect();
+        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+    }
+    let accounts = bench.dispatcher.accounts();
+    assert!(accounts.workers < 5_000, "{accounts:?} after 29,900 workers");
+    assert_eq!((accounts.requests, accounts.attempts), (1, 3), "an attempt out, open and not started");
+    let (other, actions) = bench.request(0);
+    assert!(sent(&actions, other).is_some(), "those listed serve");
+    bench.settled(other, 0, Ending::Delivered);
+    // What may have run stays in its cell, all of which is gone.
+    let actions = bench.settled(id, 0, Ending::Dropped);
+    assert!(sent(&actions, id).is_none(), "{first:?} is not forgotten");
+    bench.wait(6_000 * MS);
+    assert_eq!(bench.dispatcher.accounts().requests, 0);
 }
 
 #[test]
