Catch the small faults that no test caught, and mend a test that told two verdicts

Seen: of 36 faults put in by hand, seven were caught by nothing: a lower tier that leaves before an upper one that waits, the grace before the deadline left out, a draining worker named by a probe, a connection that has ended used again, a drained backend's kept connections, a socket not counted back. And a_backend_that_closes_after_each_answer_loses_no_req failed in 2 of 6 runs on a busy machine: the system may tell of a close later than the other side has made it. Ruled out: the program, which looks into the socket before each use.

--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -29,6 +29,14 @@
     assert!(sent(&actions, premium).is_some(), "the freed slot goes to the top tier");
     let basics = actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
     assert_eq!(basics, 1, "and to nobody else");
+    // Also where there is room for the basic one only.
+    let mut bench = Bench::new(settings(), 1);
+    let (wide, actions) = bench.wide_request(0, 8.0);
+    assert!(sent(&actions, wide).is_none(), "no worker is known to have eight slots");
+    let (basic, actions) = bench.request(1);
+    assert!(sent(&actions, basic).is_none(), "it waits behind the premium one");
+    let actions = bench.event(Event::Lapsed { id: wide });
+    assert!(sent(&actions, basic).is_some());
 }
 
 #[test]
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -63,7 +63,10 @@
     let program = Program::start(&Director::new(&[("s-1", backend.address)]));
     for n in 1..=20 {
         assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
-        until("its close", || backend.ended.load(Ordering::SeqCst) == n);
+        // The system may tell of a close a while after the other side has made it.
+        until("its close", || {
+            backend.ended.load(Ordering::SeqCst) == n && connections(backend.address, "01") == 0
+        });
     }
 }
 
@@ -365,13 +368,19 @@
     let list = [("s-1", backends[0].address), ("s-2", backends[1].address)];
     let director = Director::new(&list);
     let program = Program::start(&director);
+    until("a kept connection", || {
+        program.ask(&req("transfer", "id")).status() == 200 && connections(backends[0].address, "01") > 0
+    });
     director.set("s-1", "draining");
     until("the news", || program.log().contains("1 backends ready"));
+    let told = std::time::Instant::now();
+    until("its end", || connections(backends[0].address, "01") == 0);
+    assert!(told.elapsed().as_millis() < 2_000, "a drained backend's connections are kept as long as others");
     let before = backends[0].count();
     for n in 0..10 {
         assert_eq!(program.ask(&req("transfer", &format!("id-{n}"))).status(), 200);
     }
-    assert_eq!((backends[0].count(), backends[1].count()), (before, 10));
+    assert_eq!(backends[0].count(), before);
     director.set("s-2", "gone");
     until("the news", || program.log().contains("0 backends ready"));
     assert_eq!(program.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 503);
@@ -819,8 +828,7 @@
     let director = Director::new(&[("s-1", address)]);
     let edits = [(r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":4000"#)];
     let program = Program::start_with(&director, 1024, &edits);
-    let dials =
-        || std::fs::read_to_string("/proc/net/tcp").expect("read").matches(&to(address, "02")).count();
+    let dials = || connections(address, "02");
     let (before, mut client) = (dials(), program.connect());
     client.write_all(req("transfer", "id-1").as_bytes()).expect("written");
     until("the dial", || dials() > before);
@@ -847,10 +855,12 @@
     assert!(program.log().contains("drained_before_send: 1"), "{}", program.log());
 }
 
-/// A connection to an address, in a state, as the system lists it.
-fn to(address: std::net::SocketAddr, state: &str) -> String {
+/// Connections to an address that are in a state, as the system numbers these: 01 is established, 02 is
+/// being dialled.
+fn connections(address: std::net::SocketAddr, state: &str) -> usize {
     let std::net::SocketAddr::V4(v4) = address else { panic!("{address} is not of IPv4") };
-    format!("{:08X}:{:04X} {state}", u32::from_ne_bytes(v4.ip().octets()), v4.port())
+    let entry = format!("{:08X}:{:04X} {state} ", u32::from_ne_bytes(v4.ip().octets()), v4.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("the system's list").matches(&entry).count()
 }
 
 /// Guards against a stop that takes all that waits to be accepted at once, whatever it may hold.
@@ -885,6 +895,34 @@
     assert_eq!(program.wait().code(), Some(0));
 }
 
+/// Guards against a transfer on a connection whose end has come and which hyper has not been told of yet:
+/// both are there when the program goes on, and the req is seen first.
+#[test]
+fn a_connection_that_has_ended_is_not_used_again() {
+    let (close, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let backend = Peer::new(move |message, stream| {
+        let served = done(message, stream, "made");
+        if message.field("req-id") == Some("id-0") {
+            _ = gate.lock().unwrap().recv();
+            return false;
+        }
+        served
+    });
+    let program = Program::start(&Director::new(&[("s-1", backend.address)]));
+    let mut client = program.connect();
+    assert_eq!(ask_on(&mut client, &req("transfer", "id-0")).status(), 200);
+    program.signal("-STOP");
+    let state = format!("/proc/{}/stat", program.child.id());
+    until("its stand", || std::fs::read_to_string(&state).is_ok_and(|text| text.contains(") T ")));
+    client.write_all(req("transfer", "id-1").as_bytes()).expect("written");
+    close.send(()).expect("closed");
+    until("the end, as seen by the system", || connections(backend.address, "01") == 0);
+    program.signal("-CONT");
+    assert_eq!(Message::read(&mut BufReader::new(client)).expect("an answer").status(), 200);
+    assert_eq!(backend.count(), 2);
+}
+
 /// No transfer went out twice.
 fn once_each(backends: &[Peer]) {
     let seen: Vec<Message> = backends.iter().flat_map(|b| b.seen.lock().unwrap().clone()).collect();
