Test that an id stays taken while a fetch that can't be cancelled has it

Ruled out: the table of stages, which sees only the end. Change: the test of open ids goes on with a client that leaves a fetch which may not be cancelled. Measured: it fails with the id held by the handler, as before the fix, and passes with it held by the order.

--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -263,6 +263,17 @@
     open.send(()).expect("released");
     assert_eq!(program.ask(&req("transfer", "id-1")).status(), 200, "it is open no more");
     assert_eq!(backend.count(), 2);
+    // Where attempts may not be cancelled, its fetch is open for longer than its client waits.
+    let silent = Peer::new(|_, _| true);
+    let edits = [(r#""cancelling":true"#, r#""cancelling":false"#)];
+    let program = Program::start_with(&Director::new(&[("s-1", silent.address)]), 1024, &edits);
+    let mut client = program.connect();
+    client.write_all(req("transfer", "id-2").as_bytes()).expect("written");
+    until("the fetch", || silent.count() == 1);
+    let held = descriptors(&program);
+    drop(client);
+    until("the client's end", || descriptors(&program) < held);
+    assert_eq!(program.ask(&req("transfer", "id-2")).status(), 409);
 }
 
 /// Guards against a reader that holds the next request back for good, mixes the order, or closes on
