Bound the heads of backends' answers at 64 KiB

Ruled out: the director, whose one connection is bounded by the same line now. Lines at fault: backends.rs, Link::open. Change: as much is held of an answer as of a line of a job's stream. Measured: a head of 200 KB was read and its result served; now it ends the fetch, in doubt, by a further row of the test of such endings.

--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -17,7 +17,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -35,7 +35,8 @@
 use super::{durable, Net};
 use oakshed_core::facade::{Condition, Ending, Entry, Micros, Report, Req, Seen};
 
-/// The longest line of a job's stream: no body on the platform is longer.
+/// The longest line of a job's stream, and the most of an answer that is held before it is read: no body
+/// on the platform is longer. Guards against heads without bound, as many as there are connections.
 const LONGEST_LINE: usize = 64 << 10;
 /// How long the rest of an answer may take until its connection is given up.
 const REST: Duration = Duration::from_millis(500);
@@ -135,7 +136,8 @@
         stream.set_nodelay(true)?;
         let socket = Rc::new(Socket { stream, written: Cell::new(0), _slot: slot });
         let io = TokioIo::new(Io(socket.clone()));
-        let (sender, connection) = handshake(io).await.map_err(io::Error::other)?;
+        let form = Builder::new().max_buf_size(LONGEST_LINE).handshake(io);
+        let (sender, connection) = form.await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move { _ = connection.await });
         Ok(Link { address, sender, socket, task, idle: None })
     }
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -306,7 +306,7 @@
 #[test]
 fn a_transfer_that_may_have_run_is_not_sent_again() {
     // Each way in which an attempt ends without proof that it never ran.
-    let endings: [fn(&Message, &mut std::net::TcpStream) -> bool; 7] = [
+    let endings: [fn(&Message, &mut std::net::TcpStream) -> bool; 8] = [
         |_, _| false,
         |_, stream| status(stream, "500 Internal Server Error"),
         |_, stream| status(stream, "503 Service Unavailable"),
@@ -328,6 +328,17 @@
             chunk(stream, true, &"no line ".repeat(10_000));
             true
         },
+        // A head without bound would take the memory of many reqs.
+        |message, stream| {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nX: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "x".repeat(200_000)
+            );
+            let sent = stream.write_all(head.as_bytes()).is_ok();
+            let id = message.field("req-id").expect("an id");
+            chunk(stream, false, &format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"made\"}}\n"));
+            sent && stream.write_all(b"0\r\n\r\n").is_ok()
+        },
     ];
     for (n, ending) in endings.into_iter().enumerate() {
         let backends = [Peer::new(ending), Peer::new(ending)];
@@ -955,7 +966,7 @@
             ("dialling", "transfer", 0),
             ("sent", "transfer", 1),
             ("started", "transfer", 1),
-            ("keyed", "new-plate", 1),
+            ("copied", "new-plate", 2),
             ("answered", "transfer", 1),
         ] {
             match stage {
@@ -991,7 +1002,7 @@
                     "reading" => 408,
                     "held" | "dialling" => 503, // never ran: come again
                     "answered" => 200,
-                    "keyed" => 503, // every worker drops its repeats
+                    "copied" => 503, // keyed: every worker drops its repeats
                     _ => 502,
                 };
                 assert_eq!(answer, expected, "{id} with cancelling {cancelling}");
