Bring second copies about with backends of which nothing bad is believed

Seen: the table of stages failed once of three runs side by side on a busy machine: after silent backends both are shunned, and a second copy has nowhere to go. Ruled out: waiting longer, as each try makes them silent anew. Change: this stage has a program for each end; the wait at the end is for the connections to the backends, as descriptors alone may look the same while fetches are out.

--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -929,100 +929,107 @@
 /// room for its body, a slot of the cap, a descriptor. And against a second run of what may have run.
 #[test]
 fn every_stage_gives_back_what_it_took() {
+    let stages = [
+        ("reading", "transfer", 0),
+        ("held", "new-plate", 0),
+        ("dialling", "transfer", 0),
+        ("sent", "transfer", 1),
+        ("started", "transfer", 1),
+        ("answered", "transfer", 1),
+    ];
+    // A second copy needs a backend of which nothing bad is believed yet: these have a program each.
+    let copied = [("copied", "new-plate", 2)];
+    let ends = ["gone", "late"];
     for cancelling in ["true", "false"] {
-        let backends = [staged(), staged()];
-        let (nowhere, _full) = unreachable();
-        let list = [("s-1", backends[0].address), ("s-2", backends[1].address), ("s-3", nowhere)];
-        let director = Director::new(&list);
-        let edits = [
-            (r#""cancelling":true"#, &*format!(r#""cancelling":{cancelling}"#)),
-            (r#""second-copies":false"#, r#""second-copies":true"#),
-            (r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":2000"#),
-            (r#""give-up-ms":5000"#, r#""give-up-ms":1200"#),
-        ];
-        let mut program = Program::start_with(&director, 1024, &edits);
-        let listen = |ready: &[&str]| {
-            for (name, _) in list {
-                director.set(name, if ready.contains(&name) { "ready" } else { "draining" });
+        play(cancelling, &stages, &ends);
+        ends.iter().for_each(|end| play(cancelling, &copied, &[end]));
+    }
+}
+
+/// Lets reqs of a class reach a stage, which so many backends have seen then, and end there.
+fn play(cancelling: &str, stages: &[(&str, &str, usize)], ends: &[&str]) {
+    let backends = [staged(), staged()];
+    let (nowhere, _full) = unreachable();
+    let list = [("s-1", backends[0].address), ("s-2", backends[1].address), ("s-3", nowhere)];
+    let director = Director::new(&list);
+    let edits = [
+        (r#""cancelling":true"#, &*format!(r#""cancelling":{cancelling}"#)),
+        (r#""second-copies":false"#, r#""second-copies":true"#),
+        (r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":2000"#),
+        (r#""give-up-ms":5000"#, r#""give-up-ms":1200"#),
+    ];
+    let mut program = Program::start_with(&director, 1024, &edits);
+    let listen = |ready: &[&str]| {
+        for (name, _) in list {
+            director.set(name, if ready.contains(&name) { "ready" } else { "draining" });
+        }
+        let told = format!(", {} backends ready", ready.len());
+        let newest = |log: String| log.lines().rfind(|l| l.contains("backends ready")).map(str::to_owned);
+        let number = format!("list {} (", director.number());
+        until("the news", || newest(program.log()).is_some_and(|l| l.contains(&told) && l.contains(&number)));
+    };
+    listen(&["s-1", "s-2"]);
+    assert_eq!(program.ask(&req("transfer", "answered-first")).status(), 200);
+    let start = descriptors(&program);
+    let seen = |id: &str| {
+        let of = |b: &Peer| b.seen.lock().unwrap().iter().filter(|m| m.field("req-id") == Some(id)).count();
+        backends.iter().map(of).sum::<usize>()
+    };
+    for &(stage, class, copies) in stages {
+        match stage {
+            "held" => listen(&[]),
+            "dialling" => listen(&["s-3"]),
+            _ => listen(&["s-1", "s-2"]),
+        }
+        // One that is held, as the backends were silent before, goes away and comes again.
+        let at_its_stage = |end: &str| {
+            for n in 0..100 {
+                let id = format!("{stage}-{end}-{n}");
+                let text = req(class, &id);
+                let text = if stage == "reading" { &text[..text.len() - 2] } else { &text };
+                let mut client = program.connect();
+                client.write_all(text.as_bytes()).expect("written");
+                let start = std::time::Instant::now();
+                while start.elapsed().as_millis() < 700 {
+                    if seen(&id) == copies {
+                        return (id, client);
+                    }
+                    std::thread::sleep(std::time::Duration::from_millis(5));
+                }
             }
-            let told = format!(", {} backends ready", ready.len());
-            let newest = |log: String| log.lines().rfind(|l| l.contains("backends ready")).map(str::to_owned);
-            let number = format!("list {} (", director.number());
-            until("the news", || {
-                newest(program.log()).is_some_and(|l| l.contains(&told) && l.contains(&number))
-            });
+            panic!("{stage} was never reached");
         };
-        listen(&["s-1", "s-2"]);
-        assert_eq!(program.ask(&req("transfer", "answered-first")).status(), 200);
-        let start = descriptors(&program);
-        let seen = |id: &str| {
-            let of =
-                |b: &Peer| b.seen.lock().unwrap().iter().filter(|m| m.field("req-id") == Some(id)).count();
-            backends.iter().map(of).sum::<usize>()
-        };
-        for (stage, class, copies) in [
-            ("reading", "transfer", 0),
-            ("held", "new-plate", 0),
-            ("dialling", "transfer", 0),
-            ("sent", "transfer", 1),
-            ("started", "transfer", 1),
-            ("copied", "new-plate", 2),
-            ("answered", "transfer", 1),
-        ] {
-            match stage {
-                "held" => listen(&[]),
-                "dialling" => listen(&["s-3"]),
-                _ => listen(&["s-1", "s-2"]),
+        for end in ends {
+            let (id, client) = at_its_stage(end);
+            if *end == "gone" {
+                continue;
             }
-            // One that is held, as the backends were silent before, goes away and comes again.
-            let at_its_stage = |end: &str| {
-                for n in 0..100 {
-                    let id = format!("{stage}-{end}-{n}");
-                    let text = req(class, &id);
-                    let text = if stage == "reading" { &text[..text.len() - 2] } else { &text };
-                    let mut client = program.connect();
-                    client.write_all(text.as_bytes()).expect("written");
-                    let start = std::time::Instant::now();
-                    while start.elapsed().as_millis() < 700 {
-                        if seen(&id) == copies {
-                            return (id, client);
-                        }
-                        std::thread::sleep(std::time::Duration::from_millis(5));
-                    }
-                }
-                panic!("{stage} was never reached");
+            let answer = Message::read(&mut BufReader::new(client)).expect("one answer").status();
+            let expected = match stage {
+                "reading" => 408,
+                "held" | "dialling" => 503, // never ran: come again
+                "answered" => 200,
+                "copied" => 503, // keyed: every worker drops its repeats
+                _ => 502,
             };
-            for end in ["gone", "late"] {
-                let (id, client) = at_its_stage(end);
-                if end == "gone" {
-                    continue;
-                }
-                let answer = Message::read(&mut BufReader::new(client)).expect("one answer").status();
-                let expected = match stage {
-                    "reading" => 408,
-                    "held" | "dialling" => 503, // never ran: come again
-                    "answered" => 200,
-                    "copied" => 503, // keyed: every worker drops its repeats
-                    _ => 502,
-                };
-                assert_eq!(answer, expected, "{id} with cancelling {cancelling}");
-            }
+            assert_eq!(answer, expected, "{id} with cancelling {cancelling}");
         }
-        listen(&["s-1", "s-2"]);
-        // Where nothing is cancelled, what is out has until its deadline. Idle connections are closed.
-        until("its descriptors again", || descriptors(&program) <= start);
-        once_each(&backends);
-        program.signal("-TERM");
-        assert_eq!(program.wait().code(), Some(0));
-        until("the log's last counts", || program.log().contains("stopped"));
-        let log = program.log();
-        let last = log.lines().rfind(|l| l.contains("stopped")).expect("its counts");
-        let zero = "Open { reqs: 0, held: 0, attempts: 0, slots: 0, ids: 0, body_bytes: 0,";
-        assert!(last.contains(zero), "cancelling {cancelling}: {last}");
-        assert!(last.contains("broken=0") && last.contains("broken: 0"), "{last}");
-        let sockets = last.split("backend_sockets: ").nth(1).and_then(|t| t.split(',').next()?.parse().ok());
-        assert!(sockets.is_some_and(|n: usize| n <= backends.len()), "{last}");
     }
+    listen(&["s-1", "s-2"]);
+    // Where nothing is cancelled, what is out has until its deadline. Idle connections are closed.
+    let out = || backends.iter().map(|b| connections(b.address, "01")).sum::<usize>();
+    until("its descriptors again", || out() == 0 && descriptors(&program) <= start);
+    once_each(&backends);
+    program.signal("-TERM");
+    assert_eq!(program.wait().code(), Some(0));
+    until("the log's last counts", || program.log().contains("stopped"));
+    let log = program.log();
+    let last = log.lines().rfind(|l| l.contains("stopped")).expect("its counts");
+    let zero = "Open { reqs: 0, held: 0, attempts: 0, slots: 0, ids: 0, body_bytes: 0,";
+    assert!(last.contains(zero), "cancelling {cancelling}: {last}");
+    assert!(last.contains("broken=0") && last.contains("broken: 0"), "{last}");
+    let sockets = last.split("backend_sockets: ").nth(1).and_then(|t| t.split(',').next()?.parse().ok());
+    assert!(sockets.is_some_and(|n: usize| n <= backends.len()), "{last}");
 }
 
 /// Guards against a stop that loses what was taken, answers it twice, never ends, or leaves its address
