Make what the parts share in one place, and start programs by hand in one

Cause: rereading the whole change. Change: Net::new for serving and for the test, serve() and descriptors() in the socket tests; behaviour and assertions are as before.

--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -649,11 +649,10 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::{front::Open, Clock};
+    use super::super::Clock;
     use super::*;
     use crate::config::Config;
     use oakshed_core::facade::Facade;
-    use tokio::sync::{watch, Notify};
 
     /// Guards against a cut-off request that counts as sent, which a transfer pays for with a failure, and
     /// against one that counts as unsent though all of it was written, which would run it twice.
@@ -725,19 +724,7 @@
         let config = Config::read(var, None);
         _ = std::fs::remove_file(&path);
         let config = config.expect("usable");
-        Rc::new(Net {
-            clock: Clock::new(),
-            facade: RefCell::new(Facade::new(config.settings.clone(), config.seed).expect("usable")),
-            backends: Backends::default(),
-            counters: RefCell::default(),
-            closing: watch::Sender::new(false),
-            director: watch::Sender::new(config.director),
-            subscribe: Notify::new(),
-            ready: Cell::new(false),
-            stop: Cell::new(None),
-            open: Open::default(),
-            durable: None,
-            config,
-        })
+        let facade = Facade::new(config.settings.clone(), config.seed).expect("usable");
+        Rc::new(Net::new(config, Clock::new(), facade, None))
     }
 }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -126,6 +126,23 @@
 }
 
 impl Net {
+    fn new(config: Config, clock: Clock, facade: Facade, durable: Option<durable::Durable>) -> Net {
+        Net {
+            clock,
+            facade: RefCell::new(facade),
+            backends: backends::Backends::default(),
+            counters: RefCell::default(),
+            closing: watch::Sender::new(false),
+            director: watch::Sender::new(config.director),
+            subscribe: Notify::new(),
+            ready: Cell::new(false),
+            stop: Cell::new(None),
+            open: front::Open::default(),
+            durable,
+            config,
+        }
+    }
+
     pub(crate) fn report(&self, seen: Seen<'_>) {
         self.facade.borrow_mut().report(self.clock.now(), seen);
     }
@@ -169,20 +186,7 @@
     let clock = Clock::new();
     let (durable, told) = durable::open(&config, clock.now())?;
     durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
-    let net = Rc::new(Net {
-        clock,
-        facade: RefCell::new(facade),
-        backends: backends::Backends::default(),
-        counters: RefCell::default(),
-        closing: watch::Sender::new(false),
-        director: watch::Sender::new(config.director),
-        subscribe: Notify::new(),
-        ready: Cell::new(false),
-        stop: Cell::new(None),
-        open: front::Open::default(),
-        durable,
-        config,
-    });
+    let net = Rc::new(Net::new(config, clock, facade, durable));
     let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
     info!(%listen, %director, sockets, "{name} listens on {listen}, director {director}, {sockets} sockets");
     tokio::task::spawn_local(durable::run(net.clone(), told));
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -552,7 +552,7 @@
     idle[0].write_all(b"POST /tra").expect("half a head");
     let mut last = program.connect();
     assert_eq!(ask_on(&mut last, &req("transfer", "id-1")).status(), 200);
-    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).map_or(0, |d| d.count());
+    let open = descriptors(&program);
     assert!(open <= 64, "{open} descriptors");
 }
 
@@ -775,6 +775,27 @@
     assert_eq!(program.wait().code(), Some(0));
 }
 
+/// The program started without waiting until it is ready: the process, its address, its log, and the
+/// log's first line.
+fn serve(
+    path: &std::path::Path,
+    more: &[&str],
+) -> (std::process::Child, std::net::SocketAddr, BufReader<std::process::ChildStderr>, String) {
+    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("it");
+    let mut child = Command::new(Program::binary())
+        .arg("serve")
+        .args(more)
+        .env("ROUTER_CONFIG", path)
+        .env("ROUTER_LISTEN", listen.to_string())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("started");
+    let mut log = BufReader::new(child.stderr.take().expect("its log"));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
+    (child, listen, log, line)
+}
+
 /// Descriptors that the program holds.
 fn descriptors(program: &Program) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).map_or(0, |d| d.count())
@@ -820,16 +841,7 @@
     let director = Director::new(&[("s-1", backend.address)]);
     let (nowhere, _full) = unreachable();
     let path = config(nowhere, "null", 1024);
-    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("it");
-    let mut child = Command::new(Program::binary())
-        .arg("serve")
-        .env("ROUTER_CONFIG", &path)
-        .env("ROUTER_LISTEN", listen.to_string())
-        .stderr(std::process::Stdio::piped())
-        .spawn()
-        .expect("started");
-    let mut log = BufReader::new(child.stderr.take().expect("its log"));
-    std::io::BufRead::read_line(&mut log, &mut String::new()).expect("a line");
+    let (mut child, listen, _log, _) = serve(&path, &[]);
     let text = std::fs::read_to_string(&path).expect("its configuration");
     let text = text.replace(&nowhere.to_string(), &director.peer.address.to_string());
     std::fs::write(&path, text).expect("written");
@@ -1088,17 +1100,7 @@
     let backend = good();
     let director = Director::new(&[("s-1", backend.address)]);
     let path = config(director.peer.address, "null", 1024);
-    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("it");
-    let mut child = Command::new(Program::binary())
-        .args(["serve", "--log-format", "json"])
-        .env("ROUTER_CONFIG", &path)
-        .env("ROUTER_LISTEN", listen.to_string())
-        .stderr(std::process::Stdio::piped())
-        .spawn()
-        .expect("started");
-    let mut log = BufReader::new(child.stderr.take().expect("its log"));
-    let mut line = String::new();
-    std::io::BufRead::read_line(&mut log, &mut line).expect("a line");
+    let (mut child, listen, log, line) = serve(&path, &["--log-format", "json"]);
     assert!(line.starts_with('{') && line.contains(r#""sockets":1024"#), "{line}");
     drop(log);
     let ready = || ask(listen, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200);
