Answer operators at an address of their own, and count what became of reqs

Ruled out: counting in the facade, which does not see what is refused before it. Change: net/admin.rs, core/figures.rs, one entry for each req that is given up with its end; attempts are counted below hyper where their last byte is written.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -388,7 +388,7 @@
         let kind = self.settings.classes[r.class].kind;
         let in_group = group.is_none_or(|(scope, first)| self.same_group(scope, first, w));
         let tried = r.attempts.iter().any(|a| a.worker == w);
-        let may = worker.active && in_group && !tried && kind.is_none_or(|k| k == worker.kind);
+        let may = self.available(w) && in_group && !tried && kind.is_none_or(|k| k == worker.kind);
         // Too slow for the job, and slower than the rest: when all slow down, none is to blame.
         let run = self.expected_run(r.class, w) * r.size;
         let (usual, aim) = (self.classes[r.class].run * r.size, r.aim_at as f64);
@@ -400,7 +400,7 @@
             && self.since(worker.last_sent) > QUEUED * self.slack(r.class);
         let least = r.slots.clamp(1.0, CAP_START);
         let room = memory && !queue && self.expected_free(w) + worker.dither >= least;
-        may && in_time && room && self.now >= self.workers[w].shun_until && self.cold_allows(w)
+        may && in_time && room && self.cold_allows(w)
     }
 
     /// Where only probes tell the load, two workers are probed for a held job, and again while none
@@ -559,7 +559,7 @@
         }
         self.ask_failures = 0;
         if kind != ListKind::Changes {
-            self.workers.iter_mut().for_each(|w| w.active = false);
+            self.workers.iter_mut().for_each(|w| (w.listed, w.active) = (false, false));
         }
         for row in rows {
             let (w, restarted) = self.enter(row);
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -12,6 +12,7 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::figures::Members;
 pub use crate::interface::{
     Accounts, Condition, Ending, ListKind, Micros, Report, Settings, SettingsError, UNKNOWN,
 };
@@ -317,6 +318,11 @@
         Accounts { requests, workers, ..inner }
     }
 
+    /// The workers in the list, and how many of them get nothing now.
+    pub fn members(&self) -> Members {
+        self.dispatcher.members()
+    }
+
     /// How many reqs were taken and have no final answer yet.
     pub fn owed(&self) -> usize {
         self.reqs.values().filter(|open| !open.over).count()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub mod decide;
 pub mod facade;
+pub mod figures;
 pub mod interface;
 pub mod names;
 mod state;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -5,6 +5,7 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::figures::Members;
 use crate::interface::*;
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
@@ -26,6 +27,8 @@
     pub zone: u32,
     pub kind: u32,
     pub cell: u32,
+    /// In the list, whatever its state; its process runs and wants jobs.
+    pub listed: bool,
     pub active: bool,
     pub online_since: Micros,
     /// Own outstanding slots, and the same smoothed over the age of a report.
@@ -482,6 +485,7 @@
         let worker = &mut self.workers[w];
         (worker.zone, worker.kind, worker.cell) = (row.zone, row.kind, row.cell);
         worker.active = row.condition == Condition::Active;
+        worker.listed = row.condition != Condition::Left;
         let restarted = worker.online_since != row.online_since;
         worker.online_since = row.online_since;
         if restarted {
@@ -520,6 +524,18 @@
         self.index.contains_key(&worker)
     }
 
+    /// Whether anything may go there now, whatever the job: what the pick asks, and what operators are told.
+    pub(crate) fn available(&self, w: usize) -> bool {
+        self.workers[w].active && self.now >= self.workers[w].shun_until
+    }
+
+    /// The workers in the list, and how many of them get nothing now.
+    pub fn members(&self) -> Members {
+        let listed = || (0..self.workers.len()).filter(|&w| self.workers[w].listed);
+        let unavailable = listed().filter(|&w| !self.available(w)).count();
+        Members { listed: listed().count(), unavailable }
+    }
+
     /// What is out or held now, for whoever wants to see that all of it is given back.
     pub fn accounts(&self) -> Accounts {
         let attempts = self.workers.iter().map(|w| w.attempts.len() + w.open as usize + w.unstarted as usize);
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -7,6 +7,7 @@
 use std::task::{Poll, Wake, Waker};
 
 use oakshed_core::facade::*;
+use oakshed_core::figures::{End, Entry as Owed, Ledger};
 use oakshed_core::interface::{Class, Effect, Scope};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -77,6 +78,7 @@
     woken: Arc<Flag>,
     fetches: Vec<Out>,
     over: bool,
+    owed: Option<Owed>,
 }
 
 struct World {
@@ -88,6 +90,7 @@
     timer: Arc<Flag>,
     next: Option<Micros>,
     subscriptions: u32,
+    ledger: Ledger,
 }
 
 fn flag() -> Arc<Flag> {
@@ -107,6 +110,7 @@
             timer: flag(),
             next: None,
             subscriptions: 0,
+            ledger: Ledger::new(2),
         };
         let all: Vec<Entry> = (0..4).map(|b| world.entry(b)).collect();
         world.facade.report(world.now, Seen::List(ListKind::Remembered, &all));
@@ -158,7 +162,7 @@
             .fetches
             .iter()
             .any(|f| !matches!(f.ended, Some(Ending::Shed | Ending::DialFailed | Ending::Unused)));
-        match step {
+        let end = match step {
             Step::Fetch { fetch, backend, until } => {
                 assert_eq!(fetch, r.fetches.len(), "fetches are numbered in order");
                 assert!(fetch < 4 && until >= self.now);
@@ -172,13 +176,16 @@
             }
             Step::Serve { fetch } => {
                 assert_eq!(r.fetches[fetch].ended, Some(Ending::Delivered), "only a result is served");
+                End::Completed
             }
             Step::Synthetic { .. } => {
-                assert!(r.class != 0 || !may_have_run, "refused though it may have run")
+                assert!(r.class != 0 || !may_have_run, "refused though it may have run");
+                End::Rejected
             }
-            Step::Fail => {}
+            Step::Fail => End::Failed,
             Step::Drop { fetch } => panic!("fetch {fetch} is to be dropped before the answer"),
-        }
+        };
+        r.owed.take().expect("one end").end(end);
         self.leave(req);
     }
 
@@ -186,6 +193,7 @@
         let drops = self.facade.leave(self.now, req);
         let r = self.reqs.get_mut(&req).expect("known");
         assert!(!std::mem::replace(&mut r.over, true), "ended twice");
+        r.owed = None; // where its client went away, nobody has said how it ended
         for fetch in drops {
             // What was decided on but never begun is not known here.
             if let Some(out) = r.fetches.get_mut(fetch) {
@@ -242,7 +250,9 @@
                 };
                 let req = self.facade.take(self.now, &job);
                 self.order.push(req);
-                self.reqs.insert(req, Waiting { class, woken: flag(), fetches: Vec::new(), over: false });
+                let owed = Some(self.ledger.take(Some(class as usize)));
+                let new = Waiting { class, woken: flag(), fetches: Vec::new(), over: false, owed };
+                self.reqs.insert(req, new);
             }
             Step::Start(pick) => {
                 if let Some((req, fetch)) = open(self, pick) {
@@ -291,6 +301,12 @@
         assert_eq!(t.taken, t.served + t.synthetic + t.failed + t.gone);
         assert_eq!(t.fetches, t.ended.iter().sum::<u64>(), "a fetch without an end, or with two");
         assert_eq!((world.facade.owed(), t.broken), (0, 0));
+        let counted = |end| (0..2).map(|class| world.ledger.ended(Some(class), end)).sum::<u64>();
+        let ends = [End::Completed, End::Rejected, End::Failed, End::Abandoned].map(counted);
+        assert_eq!(ends.iter().sum::<u64>() + world.ledger.pending(), t.taken);
+        // One that was answered in the moment in which its client left counts as either.
+        assert!(ends[0] <= t.served && ends[1] <= t.synthetic && ends[2] <= t.failed);
+        assert_eq!(world.ledger.pending(), 0);
         let accounts = world.facade.accounts();
         assert_eq!(accounts, Accounts { workers: 4, ..Accounts::default() }, "something was not given back");
         assert!(world.subscriptions > 0, "the list is asked for");
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -34,6 +34,9 @@
 /// The variable with the director's address.
 pub(crate) const DISCOVERY: &str = "ROUTER_DISCOVERY";
 
+/// The variable with the operators' address.
+const ADMIN: &str = "ROUTER_ADMIN";
+
 /// What the program is told.
 #[derive(Debug)]
 pub struct Config {
@@ -43,6 +46,8 @@
     pub listen: SocketAddr,
     /// The director's address.
     pub director: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -64,6 +69,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: Option<String>,
     limits: Option<Limits>,
     #[serde(borrow)]
@@ -101,6 +107,10 @@
             };
             value.parse().map_err(|_| format!("{name} is not an address and port: {value:?}"))
         };
+        let admin = match (var(ADMIN), &file.admin) {
+            (None, None) => None,
+            _ => Some(address(ADMIN, "admin", &file.admin)?),
+        };
         let seed = file.seed.ok_or_else(|| wrong(&"no 'seed'"))?;
         let limits = file.limits.unwrap_or_default();
         let sockets = limits.sockets.unwrap_or(1_024);
@@ -130,6 +140,7 @@
             name: var("ROUTER_NAME").or(file.name).unwrap_or_else(|| "scheduler".into()),
             listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
             director: address(DISCOVERY, "discovery", &file.discovery)?,
+            admin,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong(&"'seed' is not a hexadecimal number"))?,
             sockets,
             memory: memory << 20,
--- /dev/null
+++ b/crates/server/src/net/admin.rs
@@ -0,0 +1,148 @@
+//! The operators' address: a line in, an answer out, and the connection ends.
+//!
+//! It owns the form of the calls and the connections that bring them, out of a reserve of descriptors of
+//! their own. It must never take a job, hold an answer back, or let callers that say nothing keep others
+//! out.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tracing::warn;
+
+use super::{front, Net};
+
+/// Descriptors that are kept for operators.
+pub(super) const SOCKETS: usize = 16;
+/// Connections at once: one descriptor listens, one accepts the next caller of a full house, the rest
+/// are on their way from closed to gone.
+const CALLERS: usize = SOCKETS - 4;
+/// The longest call; ids of workers are shorter.
+const LONGEST: usize = 1 << 10;
+/// How long a call may take to come, and its answer to be taken.
+const CALL: Duration = Duration::from_secs(10);
+const ANSWER: Duration = Duration::from_secs(2);
+/// How long to wait where accepting fails.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds the operators' address.
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    front::listen(address).map_err(|e| io::Error::new(e.kind(), format!("operators' address: {e}")))
+}
+
+/// A caller whose call has not come yet.
+struct Caller {
+    /// It has sent something.
+    spoke: Cell<bool>,
+    leave: Notify,
+}
+
+/// Serves operators until the program ends.
+pub(super) async fn run(net: Rc<Net>, listener: TcpListener) {
+    let callers: Rc<RefCell<Vec<Rc<Caller>>>> = Rc::default();
+    let gone = Rc::new(Notify::new());
+    let mut errors = 0_u64;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                errors += 1;
+                if errors.is_power_of_two() {
+                    warn!(errors, "operators' address: accept failed for the {errors}. time: {e}");
+                }
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        // A full house gives up who has said nothing, longest first, then who has said half. They are in
+        // the order in which they came.
+        while callers.borrow().len() >= CALLERS {
+            let least = callers.borrow().iter().min_by_key(|c| c.spoke.get()).cloned();
+            least.into_iter().for_each(|c| c.leave.notify_one());
+            gone.notified().await;
+        }
+        let caller = Rc::new(Caller { spoke: Cell::new(false), leave: Notify::new() });
+        callers.borrow_mut().push(caller.clone());
+        let (net, callers, gone) = (net.clone(), callers.clone(), gone.clone());
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                _ = tokio::time::timeout(CALL, converse(&net, &caller, &stream)) => {}
+                () = caller.leave.notified() => {}
+            }
+            drop(stream);
+            callers.borrow_mut().retain(|c| !Rc::ptr_eq(c, &caller));
+            gone.notify_one();
+        });
+    }
+}
+
+/// One call and its answer.
+async fn converse(net: &Rc<Net>, caller: &Caller, stream: &TcpStream) -> io::Result<()> {
+    let mut call = Vec::new();
+    let answer = loop {
+        stream.readable().await?;
+        let mut piece = [0; 256];
+        match stream.try_read(&mut piece) {
+            Ok(n) => {
+                caller.spoke.set(true);
+                call.extend_from_slice(&piece[..n]);
+                // A call may also end with the connection's writing side.
+                let end = call.iter().position(|b| *b == b'\n').or_else(|| (n == 0).then_some(call.len()));
+                match end {
+                    _ if call.len() > LONGEST => break "NO too long\n".to_owned(),
+                    Some(end) => break answer(net, &call[..end]),
+                    None => {}
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    };
+    let mut left = answer.as_bytes();
+    let write = async {
+        while !left.is_empty() {
+            stream.writable().await?;
+            match stream.try_write(left) {
+                Ok(n) => left = &left[n..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        super::end_sending(stream)
+    };
+    tokio::time::timeout(ANSWER, write).await.unwrap_or(Ok(()))
+}
+
+fn answer(net: &Rc<Net>, call: &[u8]) -> String {
+    let Ok(call) = std::str::from_utf8(call) else { return "NO not text\n".to_owned() };
+    let words: Vec<&str> = call.split_ascii_whitespace().collect();
+    let outcome = match words.as_slice() {
+        ["readyz"] => ready(net),
+        ["telemetry"] => return telemetry(net),
+        [] => Err("empty call"),
+        ["readyz" | "telemetry", ..] => Err("too many words"),
+        _ => Err("unknown call; there are readyz, telemetry"),
+    };
+    match outcome {
+        Ok(word) => format!("YES {word}\n"),
+        Err(why) => format!("NO {why}\n"),
+    }
+}
+
+/// Whether reqs that come now can be served.
+fn ready(net: &Net) -> Result<&'static str, &'static str> {
+    match () {
+        _ if *net.closing.borrow() => Err("stopping"),
+        _ if !net.ready.get() || net.backends.ready_count() == 0 => Err("no worker is ready"),
+        _ => Ok("ready"),
+    }
+}
+
+fn telemetry(net: &Net) -> String {
+    let members = net.facade.borrow().members();
+    net.ledger.render(&net.config.names.classes, net.backends.attempts(), members) + "END\n"
+}
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -81,6 +81,8 @@
 struct Socket {
     stream: TcpStream,
     written: Cell<u64>,
+    /// Where the present attempt ends, and who counts it once it is written whole.
+    attempt: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
     _slot: Option<Slot>,
 }
 
@@ -107,6 +109,10 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let n = ready!(super::poll_write(&self.0.stream, cx, buf))?;
         self.0.written.set(self.0.written.get() + n as u64);
+        if let Some((_, whole)) = self.0.attempt.borrow_mut().take_if(|(end, _)| self.0.written.get() >= *end)
+        {
+            whole.set(whole.get() + 1);
+        }
         Poll::Ready(Ok(n))
     }
 
@@ -134,7 +140,8 @@
     async fn open(address: SocketAddr, slot: Option<Slot>) -> io::Result<Link> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let socket = Rc::new(Socket { stream, written: Cell::new(0), _slot: slot });
+        let socket =
+            Rc::new(Socket { stream, written: Cell::new(0), attempt: RefCell::default(), _slot: slot });
         let io = TokioIo::new(Io(socket.clone()));
         let form = Builder::new().max_buf_size(LONGEST_LINE).handshake(io);
         let (sender, connection) = form.await.map_err(io::Error::other)?;
@@ -175,6 +182,8 @@
 pub(crate) struct Backends {
     all: RefCell<FxHashMap<Rc<str>, Backend>>,
     open: Rc<Cell<usize>>,
+    /// Attempts that were written whole.
+    attempts: Rc<Cell<u64>>,
     /// How long an idle connection was last held to be safe, and when.
     safe: Cell<Option<(Micros, Micros)>>,
 }
@@ -211,6 +220,11 @@
         self.open.get()
     }
 
+    /// Attempts that were written whole, whatever became of them.
+    pub(crate) fn attempts(&self) -> u64 {
+        self.attempts.get()
+    }
+
     /// Where a backend was last, ready or not: only what asks it for nothing new goes there.
     fn last_address(&self, name: &str) -> Option<SocketAddr> {
         self.all.borrow().get(name).map(|b| b.address)
@@ -438,6 +452,7 @@
     let Ok(request) = order.request(net.clock.now()) else { return Ending::Unused.into() };
     let end = link.socket.written.get() + size_of(&request, order.body.len());
     *sent.0.borrow_mut() = Some((link.socket.clone(), end));
+    *link.socket.attempt.borrow_mut() = Some((end, net.backends.attempts.clone()));
     let Ok(response) = link.sender.send_request(request).await else {
         net.count(|c| &mut c.resets);
         if let Some(idle) = link.idle {
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -31,6 +31,7 @@
 use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
 use super::Net;
 use oakshed_core::facade::{Ending, Job, Micros, Req, Seen, Step};
+use oakshed_core::figures::{End, Entry};
 use oakshed_core::interface::Effect;
 use oakshed_core::names;
 
@@ -328,8 +329,54 @@
     if net.durable.is_some() && head.uri.path().starts_with("/jobs/") {
         return durable::job(net, &head).await;
     }
+    let class = class_of(net, &head);
+    let taken = Taken { net, class, entry: RefCell::new(None) };
+    let answer = answer(net, client, &taken, arrived, head, body).await;
+    let end = match answer.status() {
+        StatusCode::OK => End::Completed,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Rejected,
+        // A durable job that goes on without its client: whoever asks for it later is told its end.
+        StatusCode::ACCEPTED => End::Abandoned,
+        _ => End::Failed,
+    };
+    taken.entry().end(end);
+    answer
+}
+
+/// The class that a path names.
+fn class_of(net: &Net, head: &Parts) -> Option<usize> {
+    let class = head.uri.path().split('/').nth(1);
+    net.config.names.classes.iter().position(|c| Some(c.as_str()) == class)
+}
+
+/// A req's place in the operators' figures: it counts from when it has arrived in full, or has its
+/// answer, whichever comes first.
+struct Taken<'a> {
+    net: &'a Net,
+    class: Option<usize>,
+    entry: RefCell<Option<Entry>>,
+}
+
+impl Taken<'_> {
+    fn arrived(&self) {
+        *self.entry.borrow_mut() = Some(self.net.ledger.take(self.class));
+    }
+
+    fn entry(&self) -> Entry {
+        self.entry.take().unwrap_or_else(|| self.net.ledger.take(self.class))
+    }
+}
+
+async fn answer(
+    net: &Rc<Net>,
+    client: &Client,
+    taken: &Taken<'_>,
+    arrived: Micros,
+    head: Parts,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
     let asked = durable::Asked::read(&head.headers);
-    let (job, order, mut held) = match read(net, client, arrived, head, body).await {
+    let (job, order, mut held) = match read(net, client, taken.class, arrived, head, body).await {
         Ok(read) => read,
         Err(answer) => {
             net.count(|c| &mut c.bad_reqs);
@@ -337,6 +384,7 @@
         }
     };
     client.intake.arrived();
+    taken.arrived();
     client.known.set(true);
     client.idle_since.set(None);
     if net.durable.is_some() {
@@ -412,6 +460,7 @@
 async fn read(
     net: &Rc<Net>,
     client: &Client,
+    class: Option<usize>,
     arrived: Micros,
     head: Parts,
     body: Incoming,
@@ -425,8 +474,7 @@
     let too_large = || last(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n");
     let Some(target) = head.uri.path_and_query().cloned() else { return Err(bad("no path\n")) };
     let names = &net.config.names;
-    let mut parts = target.path().split('/').skip(1);
-    let class = parts.next().and_then(|kind| names.classes.iter().position(|c| c == kind));
+    let mut parts = target.path().split('/').skip(2);
     let Some(class) = class else { return Err(plain(StatusCode::NOT_FOUND, "no such class\n")) };
     let key = parts.next().filter(|key| !key.is_empty());
     if parts.next().is_some() {
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! This file owns what the parts share (clock, facade, counters, the stop) and the timer task. It
 //! must never decide on a req: each step comes from the facade, and what is seen goes back to it.
 
+mod admin;
 pub mod backends;
 pub mod director;
 mod durable;
@@ -26,6 +27,7 @@
 
 use crate::config::{self, Config};
 use oakshed_core::facade::{Accounts, Facade, Micros, Seen, Step};
+use oakshed_core::figures::Ledger;
 
 /// How long after SIGTERM the platform may still bring reqs that must be answered, whatever else: its
 /// front sends some for 0.4 s, and clients use their connections until these are closed.
@@ -121,6 +123,8 @@
     /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
     pub stop: Cell<Option<(Micros, Micros)>>,
     pub open: front::Open,
+    /// What became of reqs, for operators.
+    pub ledger: Ledger,
     /// Durable jobs, where the operators have switched them on.
     pub durable: Option<durable::Durable>,
 }
@@ -138,6 +142,7 @@
             ready: Cell::new(false),
             stop: Cell::new(None),
             open: front::Open::default(),
+            ledger: Ledger::new(config.settings.classes.len()),
             durable,
             config,
         }
@@ -172,7 +177,8 @@
 
     /// Descriptors for clients, and as many for backends.
     pub(crate) fn socket_share(&self) -> usize {
-        (self.config.sockets - RESERVED_SOCKETS) / 2
+        let operators = if self.config.admin.is_some() { admin::SOCKETS } else { 0 };
+        (self.config.sockets - RESERVED_SOCKETS - operators) / 2
     }
 }
 
@@ -183,6 +189,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let facade = Facade::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
     let listener = front::listen(config.listen)?;
+    let admin = config.admin.map(admin::listen).transpose()?;
     let clock = Clock::new();
     let (durable, told) = durable::open(&config, clock.now())?;
     durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
@@ -198,6 +205,11 @@
     tokio::task::spawn_local(log_counters(net.clone()));
     tokio::task::spawn_local(reload_when_told(net.clone(), hangup));
     tokio::task::spawn_local(stop_when_told(net.clone(), term, int));
+    if let Some(admin) = admin {
+        let at = admin.local_addr()?;
+        info!(%at, "operators call {at}");
+        tokio::task::spawn_local(admin::run(net.clone(), admin));
+    }
     front::run(&net, listener).await;
     info!("stopped: {}", summary(&net));
     match net.durable.as_ref().and_then(durable::Durable::failure) {
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -277,6 +277,7 @@
         }
         let mut child = command
             .env("ROUTER_CONFIG", &path)
+            .env_remove("ROUTER_ADMIN")
             .env("ROUTER_DISCOVERY", director.peer.address.to_string())
             .stderr(Stdio::piped())
             .spawn()
@@ -301,6 +302,17 @@
         self.log.lock().unwrap().clone()
     }
 
+    /// Where operators call; its configuration names such an address.
+    pub fn admin(&self) -> SocketAddr {
+        let told = |log: &str| log.split("operators call ").nth(1)?.split_whitespace().next()?.parse().ok();
+        let mut at = None;
+        until("the operators' address in the log", || {
+            at = told(&self.log());
+            at.is_some()
+        });
+        at.expect("told")
+    }
+
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
