Take over from the process before: its listening socket, its list and what it learned

Change: net/handover.rs; the stop with a successor accepts no more and says Connection: close; descriptors, body room and cold budgets are shared while two live.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -540,7 +540,9 @@
             return true;
         }
         let usual = (self.busy / self.warmth.max(1.0)).max(0.5 / f64::from(s.dispatchers));
-        let rate = COLD_SAFETY * s.fall_multiple * share * usual;
+        // Two processes of this scheduler, while both live, take their parts of its one budget.
+        let part = COLD_SAFETY / (1 + self.sharers) as f64;
+        let rate = part * s.fall_multiple * share * usual;
         let budget = self.workers[w].budget + rate * self.since(self.workers[w].budget_at);
         self.workers[w].budget = budget.min(0.5 * rate * s.fall_span as f64);
         self.workers[w].budget_at = self.now;
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -23,6 +23,9 @@
 /// The least number of backends' names at which it looks which of them are of use.
 const NAMES_KEPT: usize = 4_096;
 
+/// The longest that a worker is avoided on another process's word.
+const LONGEST_SHUN: Micros = 60_000_000;
+
 /// A req that was taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Req(u64);
@@ -120,6 +123,19 @@
     pub probes: Vec<Rc<str>>,
 }
 
+/// What one process tells the next of what it has learned. Spans, as the two have a clock each.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// The cap on own outstanding slots.
+    pub cap: f64,
+    /// The mean running time of jobs, in microseconds.
+    pub mean_run: f64,
+    /// Of each class: running time lately, the job's own work, and of how many jobs it was learned.
+    pub classes: Vec<[f64; 3]>,
+    /// Backends that are avoided by choice, for how long yet, and how often they were tried.
+    pub avoided: Vec<(Rc<str>, Micros, u32)>,
+}
+
 /// Counts of what was answered, and of what should have been impossible.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -318,6 +334,30 @@
         Accounts { requests, workers, ..inner }
     }
 
+    /// How many processes of this scheduler live: each uses its part of what is the scheduler's.
+    pub fn share(&mut self, processes: usize) {
+        self.dispatcher.share(processes);
+    }
+
+    /// What the next process should know.
+    pub fn learned(&self, now: Micros) -> Learned {
+        let (cap, mean_run, classes) = self.dispatcher.learned();
+        let avoided = self.backends.iter().filter_map(|(worker, name)| {
+            let (until, trials) = self.dispatcher.shunned(*worker)?;
+            (until > now).then(|| (name.clone(), until - now, trials))
+        });
+        Learned { cap, mean_run, classes, avoided: avoided.collect() }
+    }
+
+    /// Takes in what the process before had learned; what does not fit is left out.
+    pub fn learn(&mut self, now: Micros, learned: Learned) {
+        let Learned { cap, mean_run, classes, avoided } = learned;
+        self.dispatcher.learn(cap, mean_run, &classes);
+        for (name, left, trials) in avoided {
+            self.dispatcher.shun_for(worker_id(&name), now.saturating_add(left.min(LONGEST_SHUN)), trials);
+        }
+    }
+
     /// The workers in the list, and how many of them get nothing now.
     pub fn members(&self) -> Members {
         self.dispatcher.members()
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -9,6 +9,7 @@
 use std::fs::File;
 use std::io::{self, Read as _};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use serde::Deserialize;
@@ -48,6 +49,8 @@
     pub director: SocketAddr,
     /// Where operators call, if anywhere.
     pub admin: Option<SocketAddr>,
+    /// A folder of its own that outlives a process, if there is one.
+    pub tmp: Option<PathBuf>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -141,6 +144,7 @@
             listen: address("ROUTER_LISTEN", "listen", &file.listen)?,
             director: address(DISCOVERY, "discovery", &file.discovery)?,
             admin,
+            tmp: var("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from),
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong(&"'seed' is not a hexadecimal number"))?,
             sockets,
             memory: memory << 20,
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -8,10 +8,14 @@
 
 use oakshed_core::facade::{Condition, Entry, UNKNOWN};
 use oakshed_wire::Names;
-use serde::Deserialize;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// The word for who is no more in the list.
+const GONE: &str = "gone";
 
 /// An answer of the director: the whole list, or what has changed.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Answer {
     /// The list's number.
     pub generation: u64,
@@ -23,7 +27,7 @@
 }
 
 /// One entry, as the director words it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
     instance_id: Rc<str>,
@@ -47,6 +51,37 @@
     }
 }
 
+/// The list as it stands, for a process that takes this one's place.
+#[derive(Debug, Default)]
+pub struct Held {
+    generation: u64,
+    instances: FxHashMap<Rc<str>, Instance>,
+}
+
+impl Held {
+    /// Takes in an answer; `whole` replaces all.
+    pub fn update(&mut self, answer: &Answer, whole: bool) {
+        if whole {
+            self.instances.clear();
+        }
+        self.generation = answer.generation;
+        for instance in &answer.instances {
+            if instance.lifecycle == GONE {
+                self.instances.remove(&instance.instance_id);
+            } else {
+                self.instances.insert(instance.instance_id.clone(), instance.clone());
+            }
+        }
+    }
+
+    /// The whole list, in the director's form; nothing where none was ever told.
+    pub fn whole(&self) -> Option<Answer> {
+        let instances: Vec<Instance> = self.instances.values().cloned().collect();
+        let (generation, reset) = (self.generation, true);
+        (!instances.is_empty()).then_some(Answer { generation, reset, instances })
+    }
+}
+
 impl Instance {
     /// The entry with its names resolved to the settings' places.
     pub fn entry(&self, names: &Names) -> Entry {
@@ -59,7 +94,7 @@
             cell: self.cell,
             condition: match self.lifecycle.as_str() {
                 "ready" => Condition::Active,
-                "gone" => Condition::Left,
+                GONE => Condition::Left,
                 // Draining, or a word of a later day: nothing new goes there.
                 _ => Condition::Leaving,
             },
--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -31,7 +31,7 @@
 
 /// Binds the operators' address.
 pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    front::listen(address).map_err(|e| io::Error::new(e.kind(), format!("operators' address: {e}")))
+    front::listen(address, false).map_err(|e| io::Error::new(e.kind(), format!("operators' address: {e}")))
 }
 
 /// A caller whose call has not come yet.
@@ -137,6 +137,7 @@
 fn ready(net: &Net) -> Result<&'static str, &'static str> {
     match () {
         _ if *net.closing.borrow() => Err("stopping"),
+        _ if !net.others.in_place() => Err("the process before is not told yet"),
         _ if !net.ready.get() || net.backends.ready_count() == 0 => Err("no worker is ready"),
         _ => Ok("ready"),
     }
--- a/crates/server/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -44,6 +44,7 @@
     let entries: Vec<Entry> = answer.instances.iter().map(|i| i.entry(&net.config.names)).collect();
     let addresses = answer.instances.iter().map(|i| i.host_port);
     net.backends.update(kind != ListKind::Changes, entries.iter().zip(addresses));
+    net.held.borrow_mut().update(answer, kind != ListKind::Changes);
     net.report(Seen::List(kind, &entries));
     durable::list(net, &entries, kind);
     if !entries.is_empty() {
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -71,10 +71,11 @@
 
 // ---- Connections ----
 
-/// Binds the one address given.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Binds the one address given. `shared` lets the next process of this scheduler bind it too.
+pub(crate) fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
     let bound = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
     bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
 }
@@ -122,6 +123,12 @@
         least.map(|(_, client)| client.close()).is_some()
     }
 
+    async fn all_gone(&self) {
+        while !self.open.borrow().is_empty() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Closes the one idle for longest of those that have brought a req, where these are too many.
     /// Guards against clients that ask once and stay: the platform gives us no more connections for
     /// reqs than a third of the descriptors, and turns usual clients away from there on.
@@ -155,6 +162,8 @@
     tokio::task::spawn_local(sweep(net.clone(), clients.clone()));
     let mut told = net.closing.subscribe();
     let mut closing = pin!(told.wait_for(|closing| *closing));
+    let mut told = net.handed.subscribe();
+    let mut handed = pin!(told.wait_for(|handed| *handed));
     loop {
         // A full house accepts nobody until an idle connection has made room.
         while clients.open.borrow().len() >= net.socket_share() {
@@ -169,6 +178,12 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = &mut closing => break,
+            // The next process accepts from the same queue.
+            _ = &mut handed => {
+                drop(listener);
+                net.others.close();
+                return clients.all_gone().await;
+            }
         };
         match accepted {
             Ok((stream, _)) => welcome(net, &clients, stream),
@@ -196,9 +211,8 @@
         }
     }
     drop(listener);
-    while !clients.open.borrow().is_empty() {
-        clients.changed.notified().await;
-    }
+    net.others.close();
+    clients.all_gone().await;
 }
 
 fn welcome(net: &Rc<Net>, clients: &Rc<Clients>, stream: TcpStream) {
@@ -226,7 +240,7 @@
 async fn converse(net: &Rc<Net>, clients: &Clients, client: &Rc<Client>, stream: Rc<TcpStream>) {
     let service = service_fn(|request| async {
         let mut response = respond(net, client, request).await;
-        if client.intake.last.get() {
+        if client.intake.last.get() || *net.handed.borrow() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         client.idle_since.set(Some(net.clock.now()));
@@ -426,7 +440,7 @@
     /// Room for a body. Guards against many large ones at once, which would end the program.
     fn room(net: &Rc<Net>, body: usize) -> Option<Held> {
         let bodies = net.open.bodies.get() + body;
-        if bodies > net.config.memory / BODIES_PART {
+        if bodies > net.config.memory / BODIES_PART / net.others.sharers() {
             return None;
         }
         net.open.bodies.set(bodies);
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod director;
 mod durable;
 pub mod front;
+mod handover;
 mod reader;
 
 use std::cell::{Cell, RefCell};
@@ -19,13 +20,14 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::time::Sleep;
 use tracing::{info, warn};
 
 use crate::config::{self, Config};
+use crate::list::Held;
 use oakshed_core::facade::{Accounts, Facade, Micros, Seen, Step};
 use oakshed_core::figures::Ledger;
 
@@ -42,6 +44,11 @@
 /// Descriptors for what is not a client or a backend: standard streams, the runtime's own, the
 /// listener, the director, and what is on its way from closed to gone.
 const RESERVED_SOCKETS: usize = 32;
+/// Where hardly any are left beside those, so many are for clients, and as many for backends.
+const LEAST_SHARE: usize = 4;
+/// What is idle is closed so long before SIGKILL, where the next process serves: later, what comes at the
+/// last moment could not be answered any more.
+const IDLE_UNTIL: Micros = 1_000_000;
 
 /// Unix time in microseconds as of the start, going on with the monotonic clock: the director's
 /// start times fit in, and it never runs backwards.
@@ -116,6 +123,8 @@
     pub counters: RefCell<Counters>,
     /// Nothing new is taken, and what is open is finished.
     pub closing: watch::Sender<bool>,
+    /// The next process has the listening socket: nothing more is accepted.
+    pub handed: watch::Sender<bool>,
     /// Where the director is: a reload may move it.
     pub director: watch::Sender<SocketAddr>,
     pub subscribe: Notify,
@@ -123,6 +132,9 @@
     /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
     pub stop: Cell<Option<(Micros, Micros)>>,
     pub open: front::Open,
+    pub others: handover::Others,
+    /// The list as the director told it.
+    pub held: RefCell<Held>,
     /// What became of reqs, for operators.
     pub ledger: Ledger,
     /// Durable jobs, where the operators have switched them on.
@@ -137,11 +149,14 @@
             backends: backends::Backends::default(),
             counters: RefCell::default(),
             closing: watch::Sender::new(false),
+            handed: watch::Sender::new(false),
             director: watch::Sender::new(config.director),
             subscribe: Notify::new(),
             ready: Cell::new(false),
             stop: Cell::new(None),
             open: front::Open::default(),
+            others: handover::Others::default(),
+            held: RefCell::default(),
             ledger: Ledger::new(config.settings.classes.len()),
             durable,
             config,
@@ -175,23 +190,33 @@
         }
     }
 
-    /// Descriptors for clients, and as many for backends.
+    /// Descriptors for clients, and as many for backends. Two processes of this scheduler share them.
     pub(crate) fn socket_share(&self) -> usize {
         let operators = if self.config.admin.is_some() { admin::SOCKETS } else { 0 };
-        (self.config.sockets - RESERVED_SOCKETS - operators) / 2
+        let sockets = self.config.sockets / self.others.sharers();
+        (sockets.saturating_sub(RESERVED_SOCKETS + operators) / 2).max(LEAST_SHARE)
     }
 }
 
 /// Serves until SIGTERM or SIGINT, and then until all that was taken is answered.
-pub async fn serve(config: Config) -> io::Result<()> {
+pub async fn serve(mut config: Config) -> io::Result<()> {
     // Before anything can be seen of the program: a signal without a handler would end it.
     let (term, int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let hangup = signal(SignalKind::hangup())?;
-    let facade = Facade::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
-    let listener = front::listen(config.listen)?;
+    let mut facade = Facade::new(config.settings.clone(), config.seed).map_err(io::Error::other)?;
     let admin = config.admin.map(admin::listen).transpose()?;
     let clock = Clock::new();
+    // Before the hand-over: two processes can't have one store, and the old one must not be disturbed.
     let (durable, told) = durable::open(&config, clock.now())?;
+    let folder = handover::Folder::open(config.tmp.as_deref(), config.listen).map(Rc::new);
+    let (listener, before) = match folder.as_ref().and_then(|f| handover::take_over(f, config.listen)) {
+        Some(taken) => {
+            config.known = taken.list.or(config.known);
+            facade.learn(clock.now(), taken.learned);
+            (TcpListener::from_std(taken.listener)?, Some(taken.link))
+        }
+        None => (front::listen(config.listen, folder.is_some())?, None),
+    };
     durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
     let net = Rc::new(Net::new(config, clock, facade, durable));
     let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
@@ -210,6 +235,10 @@
         info!(%at, "operators call {at}");
         tokio::task::spawn_local(admin::run(net.clone(), admin));
     }
+    if let Some(folder) = folder {
+        let listener = rustix::io::dup(&listener)?;
+        handover::start(&net, folder, listener, before);
+    }
     front::run(&net, listener).await;
     info!("stopped: {}", summary(&net));
     match net.durable.as_ref().and_then(durable::Durable::failure) {
@@ -271,9 +300,15 @@
     // busy, or stopped themselves; what is left is for what was taken.
     let longest = net.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let kill = longest.min(LONGEST_STOP) + STOP_MARGIN;
-    let (now, linger) = (net.clock.now(), (kill / 2).max(LINGER));
+    let succeeded = net.others.succeeded();
+    let linger = if succeeded { kill - IDLE_UNTIL } else { (kill / 2).max(LINGER) };
+    let now = net.clock.now();
     net.stop.set(Some((now + LINGER / 2, now + kill.saturating_sub(BEFORE_KILL))));
     info!("told to stop: serving on for {} ms", linger / 1_000);
+    if succeeded {
+        info!("hand-over: accepting no more");
+        net.handed.send_replace(true);
+    }
     tokio::time::sleep(Duration::from_micros(linger)).await;
     let owed = net.facade.borrow().owed();
     info!(owed, "closing: {owed} reqs are owed an answer");
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -206,6 +206,41 @@
     format!(r#"{{"generation":{number},"reset":{whole},"instances":[{}]}}"#, entries.join(","))
 }
 
+/// Where one scheduler's processes live, one after the other; removed when dropped.
+pub struct Place {
+    pub folder: std::path::PathBuf,
+    pub listen: SocketAddr,
+}
+
+impl Place {
+    pub fn new() -> Place {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("oakshed-place-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // A port that is free now: the program takes it in a moment.
+        let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+        Place { folder, listen }
+    }
+
+    /// The folder that the processes share.
+    pub fn shared(&self) -> std::path::PathBuf {
+        self.folder.join(format!("oakshed-{}", self.listen))
+    }
+}
+
+impl Default for Place {
+    fn default() -> Place {
+        Place::new()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// The program under test; killed when dropped.
 pub struct Program {
     pub child: Child,
@@ -248,7 +283,7 @@
 
     /// With an operator's file.
     pub fn start_durable(director: &Director, operator: &str) -> Program {
-        Program::start_from(config(director.peer.address, "null", 1024), director, Some(operator))
+        Program::start_from(config(director.peer.address, "null", 1024), director, Some(operator), None)
     }
 
     /// With something else for the list as last held.
@@ -265,12 +300,30 @@
             text.replace(from, to)
         };
         std::fs::write(&path, edits.iter().fold(text, edit)).expect("written");
-        Program::start_from(path, director, None)
+        Program::start_from(path, director, None, None)
+    }
+
+    /// At a place of its own, a folder and a clients' address, where another process may serve already.
+    pub fn start_at(place: &Place, director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
+        let known = list(&director.told.0.lock().unwrap(), true, false);
+        let text = std::fs::read_to_string(config(director.peer.address, &known, sockets)).expect("written");
+        let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
+        let path = place.folder.join("config.json");
+        std::fs::write(&path, text).expect("written");
+        Program::start_from(path, director, None, Some(place))
     }
 
-    fn start_from(path: std::path::PathBuf, director: &Director, operator: Option<&str>) -> Program {
+    fn start_from(
+        path: std::path::PathBuf,
+        director: &Director,
+        operator: Option<&str>,
+        place: Option<&Place>,
+    ) -> Program {
         let mut command = Command::new(Program::binary());
-        command.arg("serve");
+        command.arg("serve").env_remove("TMPDIR");
+        if let Some(place) = place {
+            command.env("TMPDIR", &place.folder).env("ROUTER_LISTEN", place.listen.to_string());
+        }
         if let Some(operator) = operator {
             std::fs::write(path.with_extension("operator"), operator).expect("written");
             command.arg("--operator").arg(path.with_extension("operator"));
