--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -104,6 +104,7 @@
             Event::Streaming { id } => self.dequeue(id),
             Event::Lapsed { id } => self.finish(id),
             Event::Probed { worker, ending, report } => self.on_probed(worker, ending, report),
+            Event::Ban { worker, out } => self.on_ban(worker, out),
             Event::Timer => self.wake_at = if self.wake_at <= now { Micros::MAX } else { self.wake_at },
         }
     }
@@ -575,6 +576,18 @@
         }
     }
 
+    /// Taken out or back by hand. What was bad of a worker before is void once it is used again; what
+    /// waits at it now is left to finish.
+    fn on_ban(&mut self, worker: WorkerId, out: bool) {
+        let news = if out { self.banned.insert(worker) } else { self.banned.remove(&worker) };
+        let Some(&w) = self.index.get(&worker).filter(|_| news) else { return };
+        if !out {
+            let worker = &mut self.workers[w];
+            (worker.shun_until, worker.trials, worker.heard) = (0, 0, None);
+        }
+        self.refill_pools();
+    }
+
     /// One timer for whatever comes first; none where nothing waits.
     fn set_timer(&mut self) {
         let mut next = self.ask_at;
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -334,6 +334,41 @@
         Accounts { requests, workers, ..inner }
     }
 
+    /// Operators take a backend out: nothing new goes there, whatever the list says, until [`include`].
+    /// Tells whether it was ever listed; else nothing changes.
+    ///
+    /// [`include`]: Facade::include
+    pub fn exclude(&mut self, now: Micros, backend: &str) -> bool {
+        self.ban(now, backend, true)
+    }
+
+    /// Operators let a backend be used again; one call ends the ban, however often it was called for.
+    /// Tells whether it was ever listed, or was taken out.
+    pub fn include(&mut self, now: Micros, backend: &str) -> bool {
+        self.ban(now, backend, false)
+    }
+
+    /// Takes over a ban that another process of this scheduler has noted: its backend need not be listed.
+    pub fn keep_out(&mut self, now: Micros, backend: &str) {
+        let worker = worker_id(backend);
+        self.backends.entry(worker).or_insert_with(|| backend.into());
+        self.ban(now, backend, true);
+    }
+
+    /// Whether operators have taken a backend out.
+    pub fn is_out(&self, backend: &str) -> bool {
+        self.dispatcher.is_banned(worker_id(backend))
+    }
+
+    fn ban(&mut self, now: Micros, backend: &str, out: bool) -> bool {
+        let worker = worker_id(backend);
+        if self.backends.get(&worker).is_none_or(|name| **name != *backend) {
+            return false;
+        }
+        self.feed(now, Event::Ban { worker, out });
+        true
+    }
+
     /// How many processes of this scheduler live: each uses its part of what is the scheduler's.
     pub fn share(&mut self, processes: usize) {
         self.dispatcher.share(processes);
@@ -387,7 +422,7 @@
         // Guards against names of backends that are long gone: the decisions have forgotten these.
         if self.backends.len() > 2 * self.dispatcher.accounts().workers.max(NAMES_KEPT) {
             let dispatcher = &self.dispatcher;
-            self.backends.retain(|worker, _| dispatcher.knows(*worker));
+            self.backends.retain(|worker, _| dispatcher.knows(*worker) || dispatcher.is_banned(*worker));
         }
     }
 
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -342,6 +342,13 @@
         /// Its report.
         report: Option<Report>,
     },
+    /// Operators take a worker out, or use it again. It need not be listed.
+    Ban {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it is out.
+        out: bool,
+    },
     /// A timer asked for with [`Action::Wake`] is due.
     Timer,
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::figures::Members;
 use crate::interface::*;
@@ -155,10 +155,12 @@
     pub(crate) now: Micros,
     pub(crate) actions: Vec<Action>,
     pub(crate) classes: Vec<ClassBelief>,
-    /// All workers ever listed, and the active ones: all, and by kind.
+    /// All workers ever listed, and those that are active and not taken out: all, and by kind.
     pub(crate) workers: Vec<Worker>,
     pub(crate) index: FxHashMap<WorkerId, usize>,
     pub(crate) live: Vec<usize>,
+    /// Workers that operators have taken out. Apart from the list: nothing that it tells lifts a ban.
+    pub(crate) banned: FxHashSet<WorkerId>,
     /// The active ones of the own zone.
     pub(crate) near: Vec<usize>,
     pub(crate) live_by_kind: FxHashMap<u32, Vec<usize>>,
@@ -572,9 +574,19 @@
         self.index.contains_key(&worker)
     }
 
+    /// Whether a worker is active, and not taken out by hand.
+    pub(crate) fn usable(&self, w: usize) -> bool {
+        self.workers[w].active && self.workers[w].id.is_some_and(|id| !self.banned.contains(&id))
+    }
+
+    /// Whether operators have taken a worker out.
+    pub fn is_banned(&self, worker: WorkerId) -> bool {
+        self.banned.contains(&worker)
+    }
+
     /// Whether anything may go there now, whatever the job: what the pick asks, and what operators are told.
     pub(crate) fn available(&self, w: usize) -> bool {
-        self.workers[w].active && self.now >= self.workers[w].shun_until
+        self.usable(w) && self.now >= self.workers[w].shun_until
     }
 
     /// The workers in the list, and how many of them get nothing now.
@@ -622,7 +634,7 @@
     /// Sorts the active workers into the pools that picks draw from.
     pub(crate) fn refill_pools(&mut self) {
         self.forget_gone();
-        self.live = (0..self.workers.len()).filter(|&w| self.workers[w].active).collect();
+        self.live = (0..self.workers.len()).filter(|&w| self.usable(w)).collect();
         let near = |w: &usize| self.workers[*w].zone == self.settings.zone;
         self.near = self.live.iter().copied().filter(near).collect();
         self.warmth = self.live.iter().map(|&w| self.warm_share(w)).sum();
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -25,6 +25,9 @@
     EndAll(usize),
     Leave(usize),
     List(usize, bool),
+    /// The whole list, with those whose bit is set; restarted or not.
+    Whole(u8, bool),
+    Ban(usize, bool),
     Failed,
 }
 
@@ -37,6 +40,8 @@
         1 => (0..ENDINGS.len()).prop_map(Step::EndAll),
         1 => any::<usize>().prop_map(Step::Leave),
         1 => (0..4usize, any::<bool>()).prop_map(|(b, ready)| Step::List(b, ready)),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(mask, anew)| Step::Whole(mask, anew)),
+        2 => (0..4usize, any::<bool>()).prop_map(|(b, out)| Step::Ban(b, out)),
         1 => Just(Step::Failed),
     ]
 }
@@ -87,6 +92,8 @@
     reqs: HashMap<Req, Waiting>,
     order: Vec<Req>,
     ready: [bool; 4],
+    banned: [bool; 4],
+    started: [Micros; 4],
     timer: Arc<Flag>,
     next: Option<Micros>,
     subscriptions: u32,
@@ -107,6 +114,8 @@
             reqs,
             order,
             ready: [true; 4],
+            banned: [false; 4],
+            started: [0; 4],
             timer: flag(),
             next: None,
             subscriptions: 0,
@@ -126,7 +135,7 @@
             kind: 0,
             cell: 0,
             condition,
-            online_since: 0,
+            online_since: self.started[backend],
         }
     }
 
@@ -166,10 +175,9 @@
             Step::Fetch { fetch, backend, until } => {
                 assert_eq!(fetch, r.fetches.len(), "fetches are numbered in order");
                 assert!(fetch < 4 && until >= self.now);
-                assert!(
-                    self.ready[backend[2..].parse::<usize>().expect("a number")],
-                    "a fetch to who drains"
-                );
+                let number = backend[2..].parse::<usize>().expect("a number");
+                assert!(self.ready[number], "a fetch to who drains");
+                assert!(!self.banned[number], "a fetch to who was taken out");
                 assert!(r.class != 0 || !may_have_run, "a transfer was sent twice");
                 r.fetches.push(Out { until, ended: None });
                 return;
@@ -280,6 +288,25 @@
                 let entry = self.entry(backend);
                 self.facade.report(self.now, Seen::List(ListKind::Changes, &[entry]));
             }
+            Step::Whole(mask, anew) => {
+                self.ready = std::array::from_fn(|b| mask & (1 << b) != 0);
+                if anew {
+                    self.started = [self.now; 4];
+                }
+                let listed: Vec<Entry> = (0..4).filter(|b| self.ready[*b]).map(|b| self.entry(b)).collect();
+                self.facade.report(self.now, Seen::List(ListKind::All, &listed));
+            }
+            Step::Ban(backend, out) => {
+                let name = format!("s-{backend}");
+                let known = match out {
+                    true => self.facade.exclude(self.now, &name),
+                    false => self.facade.include(self.now, &name),
+                };
+                assert!(known, "it was listed once");
+                assert!(!self.facade.exclude(self.now, "s-9") && !self.facade.include(self.now, "s-9"));
+                self.banned[backend] = out;
+                assert_eq!(self.facade.is_out(&name), out);
+            }
             Step::Failed => self.facade.report(self.now, Seen::List(ListKind::Refused, &[])),
         }
         self.settle();
--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -123,9 +123,12 @@
     let outcome = match words.as_slice() {
         ["readyz"] => ready(net),
         ["telemetry"] => return telemetry(net),
+        ["exclude", id] => net.bans.exclude(net, id),
+        ["include", id] => net.bans.include(net, id),
         [] => Err("empty call"),
-        ["readyz" | "telemetry", ..] => Err("too many words"),
-        _ => Err("unknown call; there are readyz, telemetry"),
+        ["exclude" | "include"] => Err("no id"),
+        ["readyz" | "telemetry" | "exclude" | "include", ..] => Err("too many words"),
+        _ => Err("unknown call; there are readyz, telemetry, exclude ID, include ID"),
     };
     match outcome {
         Ok(word) => format!("YES {word}\n"),
@@ -138,7 +141,7 @@
     match () {
         _ if *net.closing.borrow() => Err("stopping"),
         _ if !net.others.in_place() => Err("the process before is not told yet"),
-        _ if !net.ready.get() || net.backends.ready_count() == 0 => Err("no worker is ready"),
+        _ if !net.can_serve() => Err("no worker is ready that may be used"),
         _ => Ok("ready"),
     }
 }
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -215,6 +215,10 @@
         self.all.borrow().values().filter(|b| b.ready).count()
     }
 
+    pub(crate) fn any_ready(&self, which: impl Fn(&str) -> bool) -> bool {
+        self.all.borrow().iter().any(|(name, b)| b.ready && which(name))
+    }
+
     /// Sockets to backends that are open or being opened.
     pub(crate) fn sockets(&self) -> usize {
         self.open.get()
@@ -439,13 +443,17 @@
 }
 
 async fn run(net: &Net, order: &Order, whose: Whose, to: &Rc<str>, sent: &Sent) -> Ended {
+    // Operators may have taken it out since it was picked: that is not worth a dial.
+    if net.facade.borrow().is_out(to) {
+        return Ending::Unused.into();
+    }
     let mut link = match connect(net, to).await {
         Ok(link) => link,
         Err(ending) => return ending.into(),
     };
     // The dial may have outlasted the time in which sends to a draining backend must end, and the
-    // backend may have moved meanwhile.
-    if net.backends.address(to) != Some(link.address) {
+    // backend may have moved, or been taken out, meanwhile.
+    if net.backends.address(to) != Some(link.address) || net.facade.borrow().is_out(to) {
         net.count(|c| &mut c.drained_before_send);
         return Ending::Unused.into();
     }
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -333,9 +333,7 @@
     let (head, body) = request.into_parts();
     if head.uri.path() == "/ready" {
         return match head.method {
-            Method::GET | Method::HEAD if net.ready.get() && net.backends.ready_count() > 0 => {
-                plain(StatusCode::OK, "ready\n")
-            }
+            Method::GET | Method::HEAD if net.can_serve() => plain(StatusCode::OK, "ready\n"),
             Method::GET | Method::HEAD => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             _ => not_allowed("GET, HEAD"),
         };
--- a/crates/server/src/net/handover.rs
+++ b/crates/server/src/net/handover.rs
@@ -250,7 +250,7 @@
 async fn succeed(net: &Rc<Net>, folder: &Rc<Folder>, link: BlockingStream) -> io::Result<()> {
     link.set_nonblocking(true)?;
     let mut link = UnixStream::from_std(link)?;
-    while !(net.ready.get() && net.backends.ready_count() > 0) {
+    while !net.can_serve() {
         tokio::time::sleep(LOOK).await;
     }
     tokio::task::spawn_local(serve(net.clone(), folder.clone()));
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 pub mod backends;
+mod bans;
 pub mod director;
 mod durable;
 pub mod front;
@@ -133,6 +134,7 @@
     pub stop: Cell<Option<(Micros, Micros)>>,
     pub open: front::Open,
     pub others: handover::Others,
+    pub bans: bans::Bans,
     /// The list as the director told it.
     pub held: RefCell<Held>,
     /// What became of reqs, for operators.
@@ -156,6 +158,7 @@
             stop: Cell::new(None),
             open: front::Open::default(),
             others: handover::Others::default(),
+            bans: bans::Bans::default(),
             held: RefCell::default(),
             ledger: Ledger::new(config.settings.classes.len()),
             durable,
@@ -181,6 +184,12 @@
         self.counters.borrow_mut().broken += u64::from(!holds);
     }
 
+    /// Whether reqs that come now can be served.
+    pub(crate) fn can_serve(&self) -> bool {
+        let facade = self.facade.borrow();
+        self.ready.get() && self.backends.any_ready(|name| !facade.is_out(name))
+    }
+
     /// A deadline, cut to what SIGKILL leaves of it. Guards against a req that was taken late in a stop
     /// and is cut off without an answer.
     pub(crate) fn bounded(&self, arrived: Micros, deadline: Micros) -> Micros {
@@ -222,6 +231,9 @@
     let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
     info!(%listen, %director, sockets, "{name} listens on {listen}, director {director}, {sockets} sockets");
     tokio::task::spawn_local(durable::run(net.clone(), told));
+    if let Some(folder) = &folder {
+        bans::start(&net, folder);
+    }
     director::remember(&net);
     net.ready.set(true);
     tokio::task::spawn_local(run_timer(net.clone()));
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -857,17 +857,27 @@
 
 /// Guards against a first byte to a backend that was told to drain while the connection to it came up.
 #[test]
-fn a_backend_that_drains_while_it_is_dialled_gets_nothing() {
+fn a_backend_that_drains_or_is_taken_out_while_it_is_dialled_gets_nothing() {
+    gets_nothing("0 backends ready", |director, _| director.set("s-1", "draining"));
+    gets_nothing("taken out by hand", |_, program| {
+        assert!(call(program.admin(), "exclude s-1").starts_with("YES"));
+    });
+}
+
+fn gets_nothing(news: &str, ends: impl Fn(&Director, &Program)) {
     let (address, mut full) = unreachable();
     let director = Director::new(&[("s-1", address)]);
-    let edits = [(r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":4000"#)];
+    let edits = [
+        (r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":4000"#),
+        (r#""seed":"#, r#""admin":"127.0.0.1:0","seed":"#),
+    ];
     let program = Program::start_with(&director, 1024, &edits);
     let dials = || connections(address, "02");
     let (before, mut client) = (dials(), program.connect());
     client.write_all(req("transfer", "id-1").as_bytes()).expect("written");
     until("the dial", || dials() > before);
-    director.set("s-1", "draining");
-    until("the news", || program.log().contains("0 backends ready"));
+    ends(&director, &program);
+    until("the news", || program.log().contains(news));
     // There is room now: its next try comes up.
     let listener = full.remove(0);
     full.clear();
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -421,6 +421,27 @@
     Message::read(&mut BufReader::new(stream)).expect("an answer")
 }
 
+/// Sends pieces of an operator's call and reads the answer to its end.
+pub fn call_in(at: SocketAddr, pieces: &[&[u8]], end: bool) -> String {
+    let mut stream = TcpStream::connect(at).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    stream.set_nodelay(true).expect("set");
+    for piece in pieces {
+        _ = stream.write_all(piece);
+    }
+    if end {
+        stream.shutdown(std::net::Shutdown::Write).expect("ended");
+    }
+    let mut text = Vec::new();
+    _ = std::io::Read::read_to_end(&mut stream, &mut text);
+    String::from_utf8(text).expect("text")
+}
+
+/// One call of an operator, and its answer.
+pub fn call(at: SocketAddr, line: &str) -> String {
+    call_in(at, &[line.as_bytes(), b"\n"], false)
+}
+
 /// A req in the platform's form.
 pub fn req(class: &str, id: &str) -> String {
     let key = if class == "new-plate" { "Idempotency-Key: 5c0f\r\n" } else { "" };
