--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -48,6 +48,12 @@
 const CROSS_PRICE_SLOTS: f64 = 160.0;
 /// Slots that a charged new connection is worth, for a price of the whole result.
 const HANDSHAKE_SLOTS: f64 = 20.0;
+/// Slots that a worker counts busier for each mean running time that own jobs waited there lately: a
+/// late start outweighs a crossing. The last few count, for as long as a pace is believed.
+const WAIT_SLOTS: f64 = 10.0;
+const LEARN_WAIT: f64 = 0.3;
+/// Errors in a row from which on a worker is avoided as a failing one.
+const ERRORS: u32 = 2;
 /// Share of a cold worker's budget that is used; the rest is for chance.
 const COLD_SAFETY: f64 = 0.5;
 /// Ticks for which probe results are used, and between rounds of probes.
@@ -129,7 +135,10 @@
     fn on_news(&mut self, w: usize) {
         self.count_again(w);
         let worker = &mut self.workers[w];
-        (worker.quiet_since, worker.trials, worker.shun_until) = (self.now, 0, 0);
+        worker.quiet_since = self.now;
+        if worker.errors < ERRORS {
+            (worker.trials, worker.shun_until) = (0, 0);
+        }
         worker.dither = self.rng.f64();
     }
 
@@ -381,7 +390,22 @@
             * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
         let pace = self.expected_run(class, w) / self.classes[class].run.max(1.0);
         let dial = if worker.idle_until > self.now { 0.0 } else { self.settings.handshake_price };
-        cross + pace + HANDSHAKE_SLOTS * dial - self.expected_free(w)
+        cross + pace + HANDSHAKE_SLOTS * dial + self.lateness(w) - self.expected_free(w)
+    }
+
+    /// What own jobs waited there lately, in slots. Guards against staying in a zone that others fill:
+    /// with one or two jobs out, own counts show nothing of it.
+    fn lateness(&self, w: usize) -> f64 {
+        let worker = &self.workers[w];
+        let fresh = (-self.since(worker.waited_at) / (PACE_HOLDS * self.mean_run)).exp();
+        WAIT_SLOTS * fresh * worker.wait / self.mean_run
+    }
+
+    fn learn_wait(&mut self, w: usize, waited: f64) {
+        let fresh = (-self.since(self.workers[w].waited_at) / (PACE_HOLDS * self.mean_run)).exp();
+        let worker = &mut self.workers[w];
+        worker.wait = fresh * worker.wait + LEARN_WAIT * (waited - fresh * worker.wait);
+        worker.waited_at = self.now;
     }
 
     fn fits(&mut self, id: RequestId, w: usize, group: Option<(Scope, usize)>) -> bool {
@@ -457,7 +481,9 @@
     fn on_started(&mut self, id: RequestId, n: usize) {
         let Some((w, class, slots, waited)) = self.start_attempt(id, n) else { return };
         self.dequeue(id); // it needs no second copy any more
+        self.workers[w].turned_away = 0;
         self.on_news(w);
+        self.learn_wait(w, waited);
         if waited > QUEUED * self.slack(class) {
             self.mark_full(w);
         }
@@ -474,19 +500,32 @@
         let handed_back = !self.workers[w].active || self.since(sent) > LATE * self.slack(class);
         match how {
             Ending::Delivered => {
+                (self.workers[w].errors, self.workers[w].turned_away) = (0, 0);
                 self.on_news(w);
                 self.learn_run(class, w, self.since(started.unwrap_or(sent)).max(1.0), size);
                 if !self.settings.tells_start {
                     self.accepted(slots);
                 }
             }
-            Ending::Error => self.on_news(w),
+            Ending::Error => {
+                self.workers[w].errors += 1;
+                self.on_news(w);
+                (self.workers[w].errors >= ERRORS).then(|| self.shun(w, PATIENCE * self.mean_run));
+            }
             // Handed back by a worker that drains, of which the list may not have told yet.
             Ending::Shed if handed_back => self.shun(w, PATIENCE * self.mean_run),
+            // Full, once; again when it is tried after that, it drains unknown to the list, or is of no
+            // use for now: the others are not to blame.
             Ending::Shed => {
-                self.on_news(w);
-                self.mark_full(w);
-                self.not_accepted(slots);
+                self.workers[w].turned_away += 1;
+                match self.workers[w].turned_away {
+                    1 => {
+                        self.on_news(w);
+                        self.mark_full(w);
+                        self.not_accepted(slots);
+                    }
+                    _ => self.shun(w, PATIENCE * self.mean_run),
+                }
             }
             // It says nothing of the others' load: a dead zone must not draw the cap down.
             Ending::DialFailed | Ending::Dropped | Ending::Expired => {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -54,6 +54,12 @@
     /// Running time against the class's mean.
     pub pace: f64,
     pub paced_at: Micros,
+    /// How long own jobs waited there to start, lately, and since when that is known.
+    pub wait: f64,
+    pub waited_at: Micros,
+    /// Errors, and jobs turned away, in a row: nothing was served, or started, in between.
+    pub errors: u32,
+    pub turned_away: u32,
     /// Since when own jobs are without news, trials since, and no sends before.
     pub quiet_since: Micros,
     pub watched: bool,
@@ -499,6 +505,7 @@
             worker.heard = None;
             worker.trials = 0;
             worker.shun_until = 0;
+            (worker.wait, worker.errors, worker.turned_away) = (0.0, 0, 0);
             worker.budget_at = self.now;
         }
         if let Some((until, trials)) = self.told_to_shun.remove(&row.worker) {
