Let no crowd take the place of a job that still comes in, however slowly

Cause: a part of a req that still came in ranked with connections that say nothing, and went first in a full house after 0.2 s; a body had 1.5 s, less than the 2 s in which some jobs are written (front.rs, close_one and BODY_WAIT). Ruled out: more time than 2.4 s, as a bad client is owed its end within 3 s. Change: the reader tells whether a part came and still comes; close_one ranks by it.

--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -48,7 +48,7 @@
 /// How long a connection that is to close may stand without a req.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// How long a body may take to arrive: its client is then told so, before the whole is overdue.
-const BODY_WAIT: Duration = ARRIVAL.saturating_sub(Duration::from_millis(500));
+const BODY_WAIT: Duration = ARRIVAL.saturating_sub(Duration::from_millis(200));
 /// The time that a new connection has to bring a req before it is the first to make room, in
 /// microseconds.
 const GRACE: Micros = 200_000;
@@ -106,20 +106,24 @@
 }
 
 impl Clients {
-    /// Asks the idle connection that is missed least to close; tells whether there was one. First go
-    /// those that have had the time to bring a req and have not, then the one idle for longest.
-    /// Guards against usual clients that lose theirs to hundreds that say nothing, or only half of
-    /// something; and against closing, in a full house, always on the one just accepted.
+    /// Asks the connection that is missed least to close; tells whether there was one. First goes who has
+    /// said nothing in the time to bring a req, longest first; then whose req has begun and makes no
+    /// progress; then who is idle between reqs; last who came just now. Never one whose req is taken, or
+    /// still comes in, however slowly. Guards against usual clients that lose theirs to hundreds that say
+    /// nothing or half of something, and against closing, in a full house, always on the one just accepted.
     fn close_one(&self, now: Micros) -> bool {
-        let rank = |c: &Client, since: Micros| match (c.known.get(), now > since + GRACE) {
-            (false, true) => 0,
-            (true, _) => 1,
-            (false, false) => 2,
+        let at = tokio::time::Instant::now();
+        let rank = |c: &Client, since: Micros| match c.intake.part(at) {
+            Some(true) => None,
+            Some(false) => Some(1),
+            None if c.known.get() => Some(2),
+            None if now > since + GRACE => Some(0),
+            None => Some(3),
         };
         let open = self.open.borrow();
         let staying = open.iter().filter(|c| !c.told_to_close.get());
-        let idle = staying.filter_map(|c| c.idle_since.get().map(|since| ((rank(c, since), since), c)));
-        let least = idle.min_by_key(|(key, _)| *key);
+        let ranked = |c: &Rc<Client>| c.idle_since.get().and_then(|since| Some((rank(c, since)?, since)));
+        let least = staying.filter_map(|c| Some((ranked(c)?, c))).min_by_key(|(key, _)| *key);
         least.map(|(_, client)| client.close()).is_some()
     }
 
@@ -137,7 +141,9 @@
         let known = || open.iter().filter(|c| c.known.get() && !c.told_to_close.get());
         if known().count() > sockets / 3 * 3 / 4 {
             // One that was answered just now may not have all of its answer yet.
-            let idle = known().filter_map(|c| Some((c.idle_since.get().filter(|at| now > at + GRACE)?, c)));
+            let begun = |c: &Client| c.intake.part(tokio::time::Instant::now()).is_some();
+            let idle = known().filter(|c| !begun(c));
+            let idle = idle.filter_map(|c| Some((c.idle_since.get().filter(|at| now > at + GRACE)?, c)));
             idle.min_by_key(|(since, _)| *since).into_iter().for_each(|(_, client)| client.close());
         }
     }
@@ -261,10 +267,12 @@
             _ = connection.as_mut() => return,
             _ = closing.wait_for(|closing| *closing) => break,
             () = client.close.notified() => {
-                if client.idle_since.get().is_some() {
+                let now = tokio::time::Instant::now();
+                let comes = client.intake.part(now) == Some(true) && !client.intake.overdue(now);
+                if client.idle_since.get().is_some() && !comes {
                     return;
                 }
-                // A whole req has come meanwhile: another one is to make room.
+                // A req has come meanwhile, or begun to: another one is to make room.
                 client.told_to_close.set(false);
                 clients.changed.notify_one();
             }
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -27,12 +27,16 @@
 /// How much is read at once.
 const CHUNK: usize = 2 << 10;
 /// How long a request may take to arrive from when it began; the first begins with the connection.
-pub(super) const ARRIVAL: Duration = Duration::from_secs(2);
+pub(super) const ARRIVAL: Duration = Duration::from_millis(2_400);
+/// A request of which nothing came for so long makes no progress.
+const STALL: Duration = Duration::from_millis(500);
 
 /// What a connection's reader and the service above hyper tell each other.
 pub(super) struct Intake {
     /// When the request began that has not arrived in full.
     began: Cell<Option<Instant>>,
+    /// When the last byte of it came, if one came.
+    heard: Cell<Option<Instant>>,
     passed: Cell<u64>,
     answered: Cell<u64>,
     /// What has come cannot be read, and nothing was being answered.
@@ -46,6 +50,7 @@
     pub(super) fn new() -> Self {
         Intake {
             began: Cell::new(Some(Instant::now())),
+            heard: Cell::new(None),
             passed: Cell::new(0),
             answered: Cell::new(0),
             unreadable: Cell::new(false),
@@ -63,6 +68,12 @@
     /// The request that is being passed on has arrived in full.
     pub(super) fn arrived(&self) {
         self.began.set(None);
+        self.heard.set(None);
+    }
+
+    /// Whether a part of a request has come, and no more: and if so, whether it still comes in.
+    pub(super) fn part(&self, now: Instant) -> Option<bool> {
+        self.heard.get().map(|at| now < at + STALL)
     }
 
     /// Whether a request began too long ago and is not there yet.
@@ -158,6 +169,7 @@
         }
         if intake.began.get().is_none() {
             intake.began.set(Some(Instant::now()));
+            intake.heard.set(Some(Instant::now()));
             self.seen = 0;
         }
         self.left = match self.look() {
@@ -220,11 +232,11 @@
                 }
             }
             ready!(self.stream.poll_read_ready(cx))?;
-            let Reader { stream, held, .. } = &mut *self;
+            let Reader { stream, held, intake, .. } = &mut *self;
             held.reserve(CHUNK);
             match stream.try_read_buf(held) {
                 Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => {}
+                Ok(_) => intake.heard.set(Some(Instant::now())),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -556,6 +556,55 @@
     assert!(open <= 64, "{open} descriptors");
 }
 
+/// Crowds far beyond the limits that say nothing or stop half way, while every job comes on a new connection,
+/// some written in 2 s: no job makes room for them.
+#[test]
+fn a_crowd_takes_no_room_from_jobs_however_slowly_they_are_written() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 96, &[]);
+    let (stop, at) = (std::sync::atomic::AtomicBool::new(false), program.address);
+    std::thread::scope(|s| {
+        s.spawn(|| {
+            let mut crowd = std::collections::VecDeque::new();
+            for n in 0..3_000 {
+                if stop.load(Ordering::SeqCst) {
+                    break;
+                }
+                let Ok(mut stream) = std::net::TcpStream::connect(at) else { continue };
+                if n % 2 == 0 {
+                    _ = stream.write_all(b"POST /transfer HTTP/1.1\r\nHo");
+                }
+                crowd.push_back(stream);
+                if crowd.len() > 400 {
+                    crowd.pop_front();
+                }
+                std::thread::sleep(std::time::Duration::from_millis(2)); // 500 a second
+            }
+        });
+        let slow: Vec<_> = (0..4)
+            .map(|n| {
+                s.spawn(move || {
+                    let text = req("transfer", &format!("slow-{n}"));
+                    let mut stream = std::net::TcpStream::connect(at).expect("a connection");
+                    stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+                    for piece in text.as_bytes().chunks(text.len() / 19) {
+                        stream.write_all(piece).expect("written");
+                        std::thread::sleep(std::time::Duration::from_millis(100));
+                        // slowly on purpose
+                    }
+                    Message::read(&mut BufReader::new(stream)).expect("an answer").status()
+                })
+            })
+            .collect();
+        for n in 0..60 {
+            assert_eq!(program.ask(&req("transfer", &format!("quick-{n}"))).status(), 200);
+        }
+        let slow: Vec<u16> = slow.into_iter().map(|t| t.join().expect("answered")).collect();
+        stop.store(true, Ordering::SeqCst);
+        assert_eq!(slow, [200; 4]);
+    });
+}
+
 /// Guards against closing on the client just accepted, where all others have brought a req before:
 /// in a full house it would be the only one that has not.
 #[test]
