Read and write operators' calls by tokio's own, and ask for bans in one place

Ruled out: one loop for both accepting sides, as they share only the pause and its log line. Change: no behaviour but one: a probe decided on just before a ban is not sent any more.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -212,9 +212,14 @@
         (worker.shun_until, worker.trials) = (self.now + doubled as Micros, worker.trials + 1);
     }
 
+    /// How far a pace, or a wait, that was learned then still holds: 1 just learned, 0 long ago.
+    fn still_holds(&self, learned_at: Micros) -> f64 {
+        (-self.since(learned_at) / (PACE_HOLDS * self.mean_run)).exp()
+    }
+
     fn expected_run(&self, class: usize, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let fresh = (-self.since(worker.paced_at) / (PACE_HOLDS * self.mean_run)).exp();
+        let fresh = self.still_holds(worker.paced_at);
         self.classes[class].run * (1.0 + fresh * (worker.pace - 1.0))
     }
 
@@ -402,12 +407,11 @@
     /// with one or two jobs out, own counts show nothing of it.
     fn lateness(&self, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let fresh = (-self.since(worker.waited_at) / (PACE_HOLDS * self.mean_run)).exp();
-        WAIT_SLOTS * fresh * worker.wait / self.mean_run
+        WAIT_SLOTS * self.still_holds(worker.waited_at) * worker.wait / self.mean_run
     }
 
     fn learn_wait(&mut self, w: usize, waited: f64) {
-        let fresh = (-self.since(self.workers[w].waited_at) / (PACE_HOLDS * self.mean_run)).exp();
+        let fresh = self.still_holds(self.workers[w].waited_at);
         let worker = &mut self.workers[w];
         worker.wait = fresh * worker.wait + LEARN_WAIT * (waited - fresh * worker.wait);
         worker.waited_at = self.now;
--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tracing::warn;
@@ -47,7 +48,7 @@
     let gone = Rc::new(Notify::new());
     let mut errors = 0_u64;
     loop {
-        let stream = match listener.accept().await {
+        let mut stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 errors += 1;
@@ -70,7 +71,7 @@
         let (net, callers, gone) = (net.clone(), callers.clone(), gone.clone());
         tokio::task::spawn_local(async move {
             tokio::select! {
-                _ = tokio::time::timeout(CALL, converse(&net, &caller, &stream)) => {}
+                _ = tokio::time::timeout(CALL, converse(&net, &caller, &mut stream)) => {}
                 () = caller.leave.notified() => {}
             }
             drop(stream);
@@ -81,40 +82,26 @@
 }
 
 /// One call and its answer.
-async fn converse(net: &Rc<Net>, caller: &Caller, stream: &TcpStream) -> io::Result<()> {
+async fn converse(net: &Rc<Net>, caller: &Caller, stream: &mut TcpStream) -> io::Result<()> {
     let mut call = Vec::new();
     let answer = loop {
-        stream.readable().await?;
         let mut piece = [0; 256];
-        match stream.try_read(&mut piece) {
-            Ok(n) => {
-                caller.spoke.set(true);
-                call.extend_from_slice(&piece[..n]);
-                // A call may also end with the connection's writing side.
-                let end = call.iter().position(|b| *b == b'\n').or_else(|| (n == 0).then_some(call.len()));
-                match end {
-                    _ if call.len() > LONGEST => break "NO too long\n".to_owned(),
-                    Some(end) => break answer(net, &call[..end]),
-                    None => {}
-                }
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
-        }
-    };
-    let mut left = answer.as_bytes();
-    let write = async {
-        while !left.is_empty() {
-            stream.writable().await?;
-            match stream.try_write(left) {
-                Ok(n) => left = &left[n..],
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
+        let n = stream.read(&mut piece).await?;
+        caller.spoke.set(true);
+        call.extend_from_slice(&piece[..n]);
+        // A call may also end with the connection's writing side.
+        let end = call.iter().position(|b| *b == b'\n').or_else(|| (n == 0).then_some(call.len()));
+        match end {
+            _ if call.len() > LONGEST => break "NO too long\n".to_owned(),
+            Some(end) => break answer(net, &call[..end]),
+            None => {}
         }
-        super::end_sending(stream)
     };
-    tokio::time::timeout(ANSWER, write).await.unwrap_or(Ok(()))
+    if let Ok(written) = tokio::time::timeout(ANSWER, stream.write_all(answer.as_bytes())).await {
+        written?;
+        super::end_sending(stream)?;
+    }
+    Ok(())
 }
 
 fn answer(net: &Rc<Net>, call: &[u8]) -> String {
--- a/crates/server/src/net/backends.rs
+++ b/crates/server/src/net/backends.rs
@@ -443,17 +443,13 @@
 }
 
 async fn run(net: &Net, order: &Order, whose: Whose, to: &Rc<str>, sent: &Sent) -> Ended {
-    // Operators may have taken it out since it was picked: that is not worth a dial.
-    if net.facade.borrow().is_out(to) {
-        return Ending::Unused.into();
-    }
     let mut link = match connect(net, to).await {
         Ok(link) => link,
         Err(ending) => return ending.into(),
     };
     // The dial may have outlasted the time in which sends to a draining backend must end, and the
     // backend may have moved, or been taken out, meanwhile.
-    if net.backends.address(to) != Some(link.address) || net.facade.borrow().is_out(to) {
+    if open_address(net, to) != Some(link.address) {
         net.count(|c| &mut c.drained_before_send);
         return Ending::Unused.into();
     }
@@ -533,13 +529,18 @@
     Ending::Dropped.into()
 }
 
+/// Where something new may go: a backend that is listed as ready, and that operators have not taken out.
+fn open_address(net: &Net, to: &str) -> Option<SocketAddr> {
+    net.backends.address(to).filter(|_| !net.facade.borrow().is_out(to))
+}
+
 /// An idle connection, or a new one. Its failure says what the fetch ends with.
 async fn connect(net: &Net, to: &str) -> Result<Link, Ending> {
+    let address = open_address(net, to).ok_or(Ending::Unused)?;
     if let Some(link) = net.backends.take_idle(net, to) {
         net.count(|c| &mut c.reused);
         return Ok(link);
     }
-    let address = net.backends.address(to).ok_or(Ending::Unused)?;
     let Some(slot) = net.backends.slot(net) else {
         net.count(|c| &mut c.no_socket);
         return Err(Ending::Unused);
--- a/crates/server/src/net/bans.rs
+++ b/crates/server/src/net/bans.rs
@@ -85,17 +85,17 @@
 
     /// Takes over what another process has noted or removed.
     fn look(&self, net: &Net) -> io::Result<()> {
-        let Some(folder) = self.folder.borrow().clone() else { return Ok(()) };
-        let found = read(&folder)?;
-        let before = std::mem::replace(&mut *self.noted.borrow_mut(), found.clone());
+        let Some(folder) = &*self.folder.borrow() else { return Ok(()) };
+        let (found, mut noted) = (read(folder)?, self.noted.borrow_mut());
         let (now, mut facade) = (net.clock.now(), net.facade.borrow_mut());
-        for id in found.difference(&before) {
+        for id in found.difference(&noted) {
             facade.keep_out(now, id);
         }
         // What was never noted stays out.
-        for id in before.difference(&found) {
+        for id in noted.difference(&found) {
             facade.include(now, id);
         }
+        *noted = found;
         Ok(())
     }
 }
--- a/crates/server/tests/daily.rs
+++ b/crates/server/tests/daily.rs
@@ -8,13 +8,14 @@
 
 use oakshed_standin::*;
 
-/// A backend that serves everything.
-fn good() -> Peer {
-    Peer::new(|message, stream| done(message, stream, "made"))
+/// A backend that serves everything, after a job's work.
+fn slow() -> Peer {
+    Peer::new(|message, stream| {
+        std::thread::sleep(Duration::from_millis(20)); // a job's work
+        done(message, stream, "made")
+    })
 }
 
-const ADMIN: (&str, &str) = (r#""seed":"#, r#""admin":"127.0.0.1:0","seed":"#);
-
 /// A figure by the end of its name.
 fn figure(text: &str, name: &str) -> u64 {
     let line = text.lines().find(|l| l.split(':').next() == Some(&format!("edge_router.{name}")));
@@ -240,12 +241,6 @@
 /// Twice in a row, under load: no client notices, nothing runs twice, and the figures start anew.
 #[test]
 fn a_process_takes_over_from_another_and_no_client_notices() {
-    let slow = || {
-        Peer::new(|message, stream| {
-            std::thread::sleep(Duration::from_millis(20)); // a job's work
-            done(message, stream, "made")
-        })
-    };
     let backends = [slow(), slow(), slow()];
     let names = ["s-0", "s-1", "s-2"];
     let list: Vec<_> = names.into_iter().zip(backends.iter().map(|b| b.address)).collect();
@@ -395,12 +390,6 @@
 /// Where a worker that is taken out must get nothing, whatever the list tells, and one call ends it.
 #[test]
 fn a_worker_taken_out_by_hand_gets_nothing_until_the_call_back() {
-    let slow = || {
-        Peer::new(|message, stream| {
-            std::thread::sleep(Duration::from_millis(20)); // a job's work
-            done(message, stream, "made")
-        })
-    };
     let backends = [slow(), slow()];
     let director = Director::new(&[("s-0", backends[0].address), ("s-1", backends[1].address)]);
     let program = Program::start_with(&director, 1024, &[ADMIN]);
--- a/crates/server/tests/sockets.rs
+++ b/crates/server/tests/sockets.rs
@@ -7,11 +7,6 @@
 
 use oakshed_standin::*;
 
-/// A backend that serves everything.
-fn good() -> Peer {
-    Peer::new(|message, stream| done(message, stream, "made"))
-}
-
 #[test]
 fn a_req_passes_through_unchanged_and_its_result_is_the_answer() {
     let backend = good();
@@ -916,10 +911,7 @@
 fn gets_nothing(news: &str, ends: impl Fn(&Director, &Program)) {
     let (address, mut full) = unreachable();
     let director = Director::new(&[("s-1", address)]);
-    let edits = [
-        (r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":4000"#),
-        (r#""seed":"#, r#""admin":"127.0.0.1:0","seed":"#),
-    ];
+    let edits = [(r#""connect-timeout-ms":200"#, r#""connect-timeout-ms":4000"#), ADMIN];
     let program = Program::start_with(&director, 1024, &edits);
     let dials = || connections(address, "02");
     let (before, mut client) = (dials(), program.connect());
--- a/crates/standin/src/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -124,11 +124,19 @@
     stream.write_all(b"0\r\n\r\n").is_ok()
 }
 
+/// A backend that serves everything.
+pub fn good() -> Peer {
+    Peer::new(|message, stream| done(message, stream, "made"))
+}
+
 /// Answers with a status and fields, and no body.
 pub fn status(stream: &mut TcpStream, line: &str) -> bool {
     stream.write_all(format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n").as_bytes()).is_ok()
 }
 
+/// An edit of the configuration that gives the program an operators' address, which the system picks.
+pub const ADMIN: (&str, &str) = (r#""seed":"#, r#""admin":"127.0.0.1:0","seed":"#);
+
 /// What the director has to tell: the list by name, and its number.
 type Told = (u64, Vec<(String, SocketAddr, &'static str, u64)>);
 
