Take the cap from own traffic, and let a zone's late starts count for its workers

Cause, in decide.rs: the cap began as a 300th of the fleet (on_list), though some get several times the mean; one late start cut it to one job above what was out, and it climbed only while more than half of it was out (accepted, not_accepted): with three jobs out on average, chance alone meets that cap. And the pick knew nothing of a worker that it met four times a minute, so that a zone that others filled, or that was lost, went on drawing jobs (lateness).

Now: the cap begins at the fleet, keeps room for a burst of a few jobs, never falls under three quarters of what comes in, and a start counts as not accepted where the job hardly ends in time. Late starts, silence, failed dials and full answers count for the worker's zone; the price of a crossing is drawn for each job, so that not all leave at once. A tenant's part holds four jobs at least.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -17,24 +17,29 @@
 const LEARN: f64 = 0.05;
 /// The same for a job's work, which must not follow a fleet that slows down for a while.
 const LEARN_WORK: f64 = 0.004;
-/// Shares of a class's slack: a start this late shows that the worker had a queue; one that late
-/// counts as not accepted.
+/// Shares of a class's slack: a start this late shows that the worker had a queue; one that late gets a
+/// second copy; and the last counts as not accepted, as the job hardly ends in time any more.
 const QUEUED: f64 = 0.12;
 const LATE: f64 = 0.35;
+const NOT_ACCEPTED: f64 = 0.75;
 /// Mean running times without news until a worker is silent: with jobs to start, or running only.
 const PATIENCE: f64 = 1.5;
 const PATIENCE_RUNNING: f64 = 4.0;
 /// The back-off from a silent or failing worker doubles this often at most.
 const MAX_DOUBLINGS: u32 = 4;
-/// The cap's start, in slots a listed worker, shared among dispatchers: large on purpose.
+/// The cap's start, in slots a listed worker: large on purpose, and no mere part of the fleet, as some
+/// dispatchers get several times the mean. The first late starts bring it down by halves.
 const CAP_START: f64 = 8.0;
 /// What a prompt start adds to the cap and a 'full' takes, per slot: it rests at a quarter late.
 const CAP_CLIMB: f64 = 0.1;
 const CAP_FALL: f64 = 0.3;
 /// Free slots a worker is taken to have where no reports come: with more, a full one is tried too soon.
 const UNTOLD: f64 = 4.0;
-/// The least cap, in slots: keeps feedback coming.
+/// Slots by which the cap may lie over twice what is out: few jobs come in bursts of several times a mean.
+const CAP_ROOM: f64 = 4.0;
+/// The least cap: slots, and the share of what comes in. Keeps feedback coming, on any size of scheduler.
 const CAP_LEAST: f64 = 0.25;
+const CAP_LEAST_SHARE: f64 = 0.75;
 /// Mean running times for which a worker's pace is believed: slowness passes, and is tried again.
 const PACE_HOLDS: f64 = 8.0;
 /// A worker this much slower than the mean is given only jobs that still end in time there.
@@ -52,6 +57,8 @@
 /// late start outweighs a crossing. The last few count, for as long as a pace is believed.
 const WAIT_SLOTS: f64 = 12.0;
 const LEARN_WAIT: f64 = 0.5;
+/// The same for a zone, which stands for those of its workers of which nothing is known lately.
+const LEARN_ZONE: f64 = 0.15;
 /// Errors in a row from which on a worker is avoided as a failing one.
 const ERRORS: u32 = 2;
 /// Share of a cold worker's budget that is used; the rest is for chance.
@@ -200,7 +207,10 @@
             let patience = if worker.unstarted > 0 { PATIENCE } else { PATIENCE_RUNNING };
             if quiet > patience * self.mean_run {
                 self.set_aside(w); // its jobs would hold the cap's slots until their deadlines
-                (self.workers[w].trials == 0).then(|| self.shun(w, PATIENCE * self.mean_run));
+                if self.workers[w].trials == 0 {
+                    self.shun(w, PATIENCE * self.mean_run);
+                    self.learn_wait(w, quiet);
+                }
             }
         }
     }
@@ -246,6 +256,7 @@
     }
 
     fn on_request(&mut self, id: RequestId, mut r: Request, tenant: usize, remaining: Micros) {
+        self.count_coming();
         let beyond = self.over_share(tenant); // worth little: it waits below all tiers within shares
         let Some(belief) = self.classes.get_mut(r.class) else {
             return self.actions.push(Action::Refuse { id, retry_after: None });
@@ -318,9 +329,10 @@
             self.cap_dither = self.rng.f64();
             self.round_until = self.now + self.mean_run as Micros;
         }
+        let cap = self.cap.max(self.least_cap());
         for tier in 0..self.tiers.len() {
             let (mut after, mut passed) = ((0, RequestId(0)), 0);
-            while self.out - self.aside < (self.cap + self.cap_dither).floor() && passed <= DRAWS {
+            while self.out - self.aside < (cap + self.cap_dither).floor() && passed <= DRAWS {
                 let Some(&(leave_by, id)) = self.tiers[tier].range(after..).next() else { break };
                 after = (leave_by, RequestId(id.0.saturating_add(1)));
                 if let Some(w) = self.pick(id) {
@@ -340,7 +352,7 @@
     // ---- The cap ----
 
     fn accepted(&mut self, slots: f64) {
-        if self.out + slots > self.cap / 2.0 {
+        if 2.0 * (self.out + slots) + CAP_ROOM > self.cap {
             self.cap += CAP_CLIMB * slots * (0.5 + self.rng.f64());
         }
     }
@@ -350,10 +362,15 @@
     fn not_accepted(&mut self, slots: f64) {
         if self.now >= self.round_until {
             self.round_until = self.now + (self.mean_run * (0.75 + 0.5 * self.rng.f64())) as Micros;
-            self.cap = self.cap.min((self.out + slots + 1.0).max(self.cap / 2.0));
+            self.cap = self.cap.min((self.out + slots + CAP_ROOM).max(self.cap / 2.0));
             self.cap_dither = self.rng.f64();
         }
-        self.cap = (self.cap - CAP_FALL * slots).max(CAP_LEAST);
+        self.cap = (self.cap - CAP_FALL * slots).max(self.least_cap());
+    }
+
+    /// A part of what comes in, in slots, whatever was learned: a few late starts tell little of the fleet.
+    fn least_cap(&self) -> f64 {
+        (CAP_LEAST_SHARE * self.coming_rate * self.mean_run).max(CAP_LEAST)
     }
 
     // ---- The pick ----
@@ -367,6 +384,9 @@
         let (probing, bound, home) = (self.probing(), group.is_some(), key.map(|key| self.home(key)));
         let charged = self.settings.cross_price > 0.0 && !self.near.is_empty();
         let all = if probing { self.probed.len() } else { self.live.len() };
+        // The price of a crossing is drawn anew for each job: else all would cross at the same moment.
+        let cross = 2.0 * self.rng.f64() * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
+        let charged = charged && self.zone_lateness(self.settings.zone) < cross;
         let (mut best, mut found) = (None::<(f64, usize)>, 0);
         for draw in 0..if bound || probing { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
@@ -383,7 +403,7 @@
             if best.is_some_and(|b| b.1 == w) || !self.fits(id, w, group) {
                 continue;
             }
-            let found_one = (self.load(class, w), w);
+            let found_one = (self.load(class, w, cross), w);
             best = best.filter(|b| b.0 <= found_one.0).or(Some(found_one));
             found += 1;
             if found == 2 && !probing {
@@ -394,20 +414,26 @@
     }
 
     /// What the pick compares, in slots: expected free ones, the pace and what a send costs extra.
-    fn load(&self, class: usize, w: usize) -> f64 {
+    fn load(&self, class: usize, w: usize, cross: f64) -> f64 {
         let worker = &self.workers[w];
-        let cross = f64::from(u8::from(worker.zone != self.settings.zone))
-            * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
+        let cross = cross * f64::from(u8::from(worker.zone != self.settings.zone));
         let pace = self.expected_run(class, w) / self.classes[class].run.max(1.0);
         let dial = if worker.idle_until > self.now { 0.0 } else { self.settings.handshake_price };
         cross + pace + HANDSHAKE_SLOTS * dial + self.lateness(w) - self.expected_free(w)
     }
 
-    /// What own jobs waited there lately, in slots. Guards against staying in a zone that others fill:
-    /// with one or two jobs out, own counts show nothing of it.
+    /// What own jobs waited there lately, in slots: at the worker, or where none was there, in its zone.
+    /// Guards against staying in a zone that others fill, or that is lost: with a few jobs out among
+    /// many workers, own counts show nothing of it.
     fn lateness(&self, w: usize) -> f64 {
         let worker = &self.workers[w];
-        WAIT_SLOTS * self.still_holds(worker.waited_at) * worker.wait / self.mean_run
+        let known = self.still_holds(worker.waited_at);
+        WAIT_SLOTS * known * worker.wait / self.mean_run + (1.0 - known) * self.zone_lateness(worker.zone)
+    }
+
+    fn zone_lateness(&self, zone: u32) -> f64 {
+        let wait = self.zones.get(&zone).map_or(0.0, |(wait, at)| self.still_holds(*at) * wait);
+        WAIT_SLOTS * wait / self.mean_run
     }
 
     fn learn_wait(&mut self, w: usize, waited: f64) {
@@ -415,6 +441,9 @@
         let worker = &mut self.workers[w];
         worker.wait = fresh * worker.wait + LEARN_WAIT * (waited - fresh * worker.wait);
         worker.waited_at = self.now;
+        let (wait, at) = self.zones.get(&worker.zone).copied().unwrap_or_default();
+        let held = self.still_holds(at) * wait;
+        self.zones.insert(self.workers[w].zone, (held + LEARN_ZONE * (waited - held), self.now));
     }
 
     fn fits(&mut self, id: RequestId, w: usize, group: Option<(Scope, usize)>) -> bool {
@@ -496,7 +525,7 @@
         if waited > QUEUED * self.slack(class) {
             self.mark_full(w);
         }
-        match waited > LATE * self.slack(class) {
+        match waited > NOT_ACCEPTED * self.slack(class) {
             true => self.not_accepted(slots),
             false => self.accepted(slots),
         }
@@ -530,6 +559,7 @@
                 match self.workers[w].turned_away {
                     1 => {
                         self.on_news(w);
+                        self.learn_wait(w, self.slack(class));
                         self.mark_full(w);
                         self.not_accepted(slots);
                     }
@@ -539,6 +569,9 @@
             // It says nothing of the others' load: a dead zone must not draw the cap down.
             Ending::DialFailed | Ending::Dropped | Ending::Expired => {
                 let dial = 4.0 * self.settings.connect_timeout as f64;
+                if started.is_none() {
+                    self.learn_wait(w, self.since(sent).min(self.slack(class)));
+                }
                 self.shun(w, if how == Ending::DialFailed { dial } else { PATIENCE * self.mean_run });
             }
             Ending::Revoked | Ending::Unused => {}
@@ -624,7 +657,7 @@
         }
         self.refill_pools();
         if self.cap == 0.0 {
-            self.cap = CAP_START * self.live.len() as f64 / f64::from(self.settings.dispatchers);
+            self.cap = CAP_START * self.live.len() as f64;
         }
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,6 +10,11 @@
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
 const RING_PLACES: u64 = 32;
+/// Mean running times over which the rate of what comes in is counted: some dozens, also in a large fleet.
+const COMING_SPAN: f64 = 16.0;
+/// Requests of a tenant that may come at once within its share: where a second brings less than one, two
+/// close together are chance.
+const SHARE_BURST: f64 = 4.0;
 /// The most slots that a job is taken to need. Guards against a figure beside which sums of slots lose
 /// all others: they would not come back to what they were when the job ends.
 const MOST_SLOTS: f64 = 1_024.0;
@@ -181,6 +186,11 @@
     pub(crate) report_changes: f64,
     pub(crate) release_rate: f64,
     pub(crate) last_release: Micros,
+    /// The rate at which requests come in.
+    pub(crate) coming_rate: f64,
+    pub(crate) last_coming: Micros,
+    /// How long own jobs waited in each zone, lately, and since when that is known.
+    pub(crate) zones: FxHashMap<u32, (f64, Micros)>,
     /// All requests known; those held, by tier, in the order in which they must leave.
     pub(crate) requests: FxHashMap<RequestId, Request>,
     pub(crate) tiers: Vec<BTreeSet<(Micros, RequestId)>>,
@@ -271,12 +281,20 @@
     pub(crate) fn over_share(&mut self, tenant: usize) -> bool {
         let Some(share) = self.settings.tenants.get(tenant) else { return false };
         let rate = share / f64::from(self.settings.dispatchers);
-        let (left, at) = self.shares.get(&tenant).copied().unwrap_or((rate.max(1.0), self.now));
-        let left = (left + rate * self.since(at) / 1e6).min(rate.max(1.0));
+        let most = rate.max(SHARE_BURST);
+        let (left, at) = self.shares.get(&tenant).copied().unwrap_or((most, self.now));
+        let left = (left + rate * self.since(at) / 1e6).min(most);
         self.shares.insert(tenant, (if left >= 1.0 { left - 1.0 } else { left }, self.now));
         left < 1.0
     }
 
+    /// Counts a request that comes in.
+    pub(crate) fn count_coming(&mut self) {
+        let span = COMING_SPAN * self.mean_run;
+        self.coming_rate = self.coming_rate * (-self.since(self.last_coming) / span).exp() + 1.0 / span;
+        self.last_coming = self.now;
+    }
+
     /// How many jobs are held: in total, and above the lowest tier.
     pub(crate) fn held(&self) -> (usize, usize) {
         let total: usize = self.tiers.iter().map(BTreeSet::len).sum();
