Budget cold workers by work done, not by jobs that wait

Cause: cold_allows takes a part of `usual`, the own slots out for each warm worker, and `occupy` smoothed all that was out, with what waited in workers' queues. Since the cap lets a few seconds of overload queue, that is several times what a worker can do, and the safety of one half is eaten up.

Now the work done (slots for their running time, over 16 mean running times) stands for it.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -540,7 +540,9 @@
             Ending::Delivered => {
                 (self.workers[w].errors, self.workers[w].turned_away) = (0, 0);
                 self.on_news(w);
-                self.learn_run(class, w, self.since(started.unwrap_or(sent)).max(1.0), size);
+                let ran = self.since(started.unwrap_or(sent)).max(1.0);
+                self.learn_run(class, w, ran, size);
+                self.count_done(slots * ran);
                 if !self.settings.tells_start {
                     self.accepted(slots);
                 }
@@ -613,15 +615,15 @@
     // ---- The cold budget ----
 
     /// Guards against pushing over a worker that has just started. Each dispatcher sends it the
-    /// stated multiple of its own usual share of a worker's work, in step with the slowest allowed
-    /// ramp: if all do, the sum stays under the multiple of what the worker can do. Below one job
+    /// stated multiple of its own usual share of a worker's work (done, not waiting: what waits in a
+    /// fleet that is too full is no worker's capacity), in step with the slowest allowed ramp: if all do, the sum stays under the multiple of what the worker can do. Below one job
     /// a span, a random first debt (see `on_list`) decides whose job is the one.
     fn cold_allows(&mut self, w: usize) -> bool {
         let (s, share) = (&self.settings, self.warm_share(w));
         if share >= 1.0 {
             return true;
         }
-        let usual = (self.busy / self.warmth.max(1.0)).max(0.5 / f64::from(s.dispatchers));
+        let usual = (self.at_work() / self.warmth.max(1.0)).max(0.5 / f64::from(s.dispatchers));
         // Two processes of this scheduler, while both live, take their parts of its one budget.
         let part = COLD_SAFETY / (1 + self.sharers) as f64;
         let rate = part * s.fall_multiple * share * usual;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -198,7 +198,7 @@
     pub(crate) checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
     /// Workers with own jobs, and when each was last looked at.
     pub(crate) watched: VecDeque<(Micros, usize)>,
-    /// Own outstanding slots now and smoothed; the cap on them.
+    /// Own outstanding slots, and the cap on them; those at work lately, waiting ones left out.
     pub(crate) out: f64,
     pub(crate) aside: f64,
     pub(crate) busy: f64,
@@ -295,6 +295,17 @@
         self.last_coming = self.now;
     }
 
+    /// Counts work that was done: slots for a span.
+    pub(crate) fn count_done(&mut self, work: f64) {
+        self.busy = self.at_work() + work / (COMING_SPAN * self.mean_run);
+        self.busy_at = self.now;
+    }
+
+    /// Slots that were at work for this dispatcher lately.
+    pub(crate) fn at_work(&self) -> f64 {
+        self.busy * (-self.since(self.busy_at) / (COMING_SPAN * self.mean_run)).exp()
+    }
+
     /// How many jobs are held: in total, and above the lowest tier.
     pub(crate) fn held(&self) -> (usize, usize) {
         let total: usize = self.tiers.iter().map(BTreeSet::len).sum();
@@ -336,9 +347,6 @@
         let ended = worker.aside.min((-by).max(0.0));
         worker.aside -= ended;
         self.aside = (self.aside - ended).max(0.0);
-        let keep = (-self.since(self.busy_at) / (4.0 * self.mean_run)).exp();
-        self.busy += (self.out - self.busy) * (1.0 - keep);
-        self.busy_at = self.now;
         self.out = (self.out + by).max(0.0);
     }
 
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -1061,3 +1061,47 @@
     }
     assert!(home < 60, "{home} tries at a zone that is lost");
 }
+
+/// Guards against a cold worker pushed over by a fleet that is too full: jobs that waited counted as work that
+/// a worker can do, and with four of five waiting a cold one was sent several times its part.
+#[test]
+fn what_waits_in_a_full_fleet_is_no_part_of_a_cold_workers_budget() {
+    let to_cold = |waits: Micros| {
+        let mut sent_cold = 0;
+        for seed in 0..30 {
+            let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
+            let dispatcher = Dispatcher::new(cold, seed).expect("usable");
+            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
+            let mut rows: Vec<Row> = (0..40).map(row).collect();
+            bench.event(Event::List { kind: ListKind::All, rows: &rows });
+            let mut out = std::collections::VecDeque::new();
+            for n in 0..1_000u64 {
+                bench.now += 10 * MS;
+                if n == 800 {
+                    rows[0].online_since = bench.now;
+                    bench.event(Event::List { kind: ListKind::Changes, rows: &rows[..1] });
+                }
+                let (id, actions) = bench.request(1);
+                if let Some(worker) = sent(&actions, id) {
+                    sent_cold += u32::from(n >= 800 && worker.0 == 0);
+                    out.push_back((bench.now + waits, bench.now + waits + 100 * MS, id));
+                }
+                out.iter()
+                    .filter(|o| o.0 == bench.now)
+                    .map(|o| o.2)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|id| {
+                        bench.started(id, 0);
+                    });
+                while out.front().is_some_and(|o| o.1 <= bench.now) {
+                    let (_, _, id) = out.pop_front().expect("seen");
+                    bench.settled(id, 0, Ending::Delivered);
+                }
+            }
+        }
+        sent_cold
+    };
+    let (prompt, late) = (to_cold(0), to_cold(300 * MS));
+    assert!(late <= 2 * prompt, "{late} jobs went to the cold worker, {prompt} where none waits");
+}
