--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -616,7 +616,8 @@
 
     /// Guards against pushing over a worker that has just started. Each dispatcher sends it the
     /// stated multiple of its own usual share of a worker's work (done, not waiting: what waits in a
-    /// fleet that is too full is no worker's capacity), in step with the slowest allowed ramp: if all do, the sum stays under the multiple of what the worker can do. Below one job
+    /// fleet that is too full is no worker's capacity), in step with the slowest allowed ramp: if all do,
+    /// the sum stays under the multiple of what the worker can do. Below one job
     /// a span, a random first debt (see `on_list`) decides whose job is the one.
     fn cold_allows(&mut self, w: usize) -> bool {
         let (s, share) = (&self.settings, self.warm_share(w));
