Count what comes in, leaves and is done by one fading rate, not three twins

Change: state.rs has `Rate` with `count` and `now`; the three users call it. The condition under which the pick draws from the own zone is said once, and a comment of the cold budget is set anew.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -291,7 +291,7 @@
     /// slack. Both follow the rate at which jobs leave.
     fn too_many_held(&self, leave_by: Micros) -> bool {
         let (total, premium) = self.held();
-        let j = (self.release_rate * leave_by.saturating_sub(self.now) as f64).max(4.0);
+        let j = (self.leaving.last * leave_by.saturating_sub(self.now) as f64).max(4.0);
         total as f64 >= j || (self.tiers.len() > 1 && premium as f64 >= (j / 4.0).max(4.0))
     }
 
@@ -370,7 +370,7 @@
 
     /// A part of what comes in, in slots, whatever was learned: a few late starts tell little of the fleet.
     fn least_cap(&self) -> f64 {
-        (CAP_LEAST_SHARE * self.coming_rate * self.mean_run).max(CAP_LEAST)
+        (CAP_LEAST_SHARE * self.coming.last * self.mean_run).max(CAP_LEAST)
     }
 
     // ---- The pick ----
@@ -382,11 +382,12 @@
         let r = self.requests.get(&id)?;
         let (class, group, key) = (r.class, self.group_of(r), r.key);
         let (probing, bound, home) = (self.probing(), group.is_some(), key.map(|key| self.home(key)));
-        let charged = self.settings.cross_price > 0.0 && !self.near.is_empty();
         let all = if probing { self.probed.len() } else { self.live.len() };
         // The price of a crossing is drawn anew for each job: else all would cross at the same moment.
         let cross = 2.0 * self.rng.f64() * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
-        let charged = charged && self.zone_lateness(self.settings.zone) < cross;
+        let charged = self.settings.cross_price > 0.0
+            && !self.near.is_empty()
+            && self.zone_lateness(self.settings.zone) < cross;
         let (mut best, mut found) = (None::<(f64, usize)>, 0);
         for draw in 0..if bound || probing { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
@@ -617,8 +618,8 @@
     /// Guards against pushing over a worker that has just started. Each dispatcher sends it the
     /// stated multiple of its own usual share of a worker's work (done, not waiting: what waits in a
     /// fleet that is too full is no worker's capacity), in step with the slowest allowed ramp: if all do,
-    /// the sum stays under the multiple of what the worker can do. Below one job
-    /// a span, a random first debt (see `on_list`) decides whose job is the one.
+    /// the sum stays under the multiple of what the worker can do. Below one job a span, a random first
+    /// debt (see `on_list`) decides whose job is the one.
     fn cold_allows(&mut self, w: usize) -> bool {
         let (s, share) = (&self.settings, self.warm_share(w));
         if share >= 1.0 {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,7 +10,9 @@
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
 const RING_PLACES: u64 = 32;
-/// Mean running times over which the rate of what comes in is counted: some dozens, also in a large fleet.
+/// Mean running times over which the rate of what leaves is counted, and that of what comes in and is done:
+/// some dozens, also in a large fleet.
+const LEAVING_SPAN: f64 = 4.0;
 const COMING_SPAN: f64 = 16.0;
 /// Requests of a tenant that may come at once within its share: where a second brings less than one, two
 /// close together are chance.
@@ -158,6 +160,24 @@
     }
 }
 
+/// How much comes in a microsecond, lately: what was counted fades over a span.
+#[derive(Default)]
+pub(crate) struct Rate {
+    /// As of the last count.
+    pub last: f64,
+    at: Micros,
+}
+
+impl Rate {
+    fn count(&mut self, now: Micros, amount: f64, span: f64) {
+        *self = Rate { last: self.now(now, span) + amount / span, at: now };
+    }
+
+    fn now(&self, now: Micros, span: f64) -> f64 {
+        self.last * (-(now.saturating_sub(self.at) as f64) / span).exp()
+    }
+}
+
 /// The decisions of one dispatcher.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -184,11 +204,9 @@
     pub(crate) mean_run: f64,
     pub(crate) report_spans: f64,
     pub(crate) report_changes: f64,
-    pub(crate) release_rate: f64,
-    pub(crate) last_release: Micros,
-    /// The rate at which requests come in.
-    pub(crate) coming_rate: f64,
-    pub(crate) last_coming: Micros,
+    /// At which requests leave, and come in.
+    pub(crate) leaving: Rate,
+    pub(crate) coming: Rate,
     /// How long own jobs waited in each zone, lately, and since when that is known.
     pub(crate) zones: FxHashMap<u32, (f64, Micros)>,
     /// All requests known; those held, by tier, in the order in which they must leave.
@@ -198,11 +216,10 @@
     pub(crate) checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
     /// Workers with own jobs, and when each was last looked at.
     pub(crate) watched: VecDeque<(Micros, usize)>,
-    /// Own outstanding slots, and the cap on them; those at work lately, waiting ones left out.
+    /// Own outstanding slots, and the cap on them; work done for it, in slots: what waits is left out.
     pub(crate) out: f64,
     pub(crate) aside: f64,
-    pub(crate) busy: f64,
-    pub(crate) busy_at: Micros,
+    pub(crate) done: Rate,
     pub(crate) cap: f64,
     pub(crate) cap_dither: f64,
     /// Processes of this scheduler that live beside this one.
@@ -290,20 +307,17 @@
 
     /// Counts a request that comes in.
     pub(crate) fn count_coming(&mut self) {
-        let span = COMING_SPAN * self.mean_run;
-        self.coming_rate = self.coming_rate * (-self.since(self.last_coming) / span).exp() + 1.0 / span;
-        self.last_coming = self.now;
+        self.coming.count(self.now, 1.0, COMING_SPAN * self.mean_run);
     }
 
     /// Counts work that was done: slots for a span.
     pub(crate) fn count_done(&mut self, work: f64) {
-        self.busy = self.at_work() + work / (COMING_SPAN * self.mean_run);
-        self.busy_at = self.now;
+        self.done.count(self.now, work, COMING_SPAN * self.mean_run);
     }
 
     /// Slots that were at work for this dispatcher lately.
     pub(crate) fn at_work(&self) -> f64 {
-        self.busy * (-self.since(self.busy_at) / (COMING_SPAN * self.mean_run)).exp()
+        self.done.now(self.now, COMING_SPAN * self.mean_run)
     }
 
     /// How many jobs are held: in total, and above the lowest tier.
@@ -391,9 +405,7 @@
         worker.last_sent = sent;
         worker.idle_until = sent + self.settings.idle_close;
         self.occupy(w, slots);
-        let span = 4.0 * self.mean_run;
-        self.release_rate = self.release_rate * (-self.since(self.last_release) / span).exp() + 1.0 / span;
-        self.last_release = sent;
+        self.leaving.count(sent, 1.0, LEAVING_SPAN * self.mean_run);
         Some(class)
     }
 
