Send no second copies: over a fleet they cost more than they save

Change: no second copies, the setting goes unread; what is sent again after an ending is drawn at random in its group, from all workers where the group is all.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -6,7 +6,6 @@
 //! learned cap, and basic jobs are refused first. The worker is the better of two random fitting
 //! ones. docs/design.md tells what was kept and what was added.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use crate::interface::*;
@@ -17,8 +16,8 @@
 const LEARN: f64 = 0.05;
 /// The same for a job's work, which must not follow a fleet that slows down for a while.
 const LEARN_WORK: f64 = 0.004;
-/// Shares of a class's slack: a start this late shows that the worker had a queue; one that late gets a
-/// second copy; and the last counts as not accepted, as the job hardly ends in time any more.
+/// Shares of a class's slack: a start this late shows that the worker had a queue; what is handed back that
+/// late had been taken; and the last counts as not accepted, as the job hardly ends in time any more.
 const QUEUED: f64 = 0.12;
 const LATE: f64 = 0.35;
 const NOT_ACCEPTED: f64 = 0.75;
@@ -118,8 +117,8 @@
             Event::Settled { id, attempt, ending, finished, report } => {
                 self.on_settled(id, attempt as usize, ending, finished, report)
             }
-            // The client owns a stream that has begun: no second copy, and no cancel.
-            Event::Streaming { id } => self.dequeue(id),
+            // The client owns a stream that has begun.
+            Event::Streaming { .. } => {}
             Event::Lapsed { id } => self.finish(id),
             Event::Probed { worker, ending, report } => self.on_probed(worker, ending, report),
             Event::Ban { worker, out } => self.on_ban(worker, out),
@@ -131,7 +130,6 @@
     pub fn dispatch(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.now = now;
         self.watch_for_silence();
-        self.copy_late_starters();
         self.refuse_hopeless();
         self.release();
         if now >= self.ask_at {
@@ -377,10 +375,12 @@
 
     /// The better of two random fitting workers, or none: then the job stays held. Every other draw is
     /// from the own zone where crossings are charged, and all from a key's home on the ring, where what
-    /// was fetched is used again; probe results and a keyed job's group are gone through as a whole.
+    /// was fetched is used again; probe results are gone through as a whole, and so is the group to which
+    /// a keyed job is bound, from a random place: else all that are sent again go to the list's head.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         let r = self.requests.get(&id)?;
-        let (class, group, key) = (r.class, self.group_of(r), r.key);
+        let (class, key) = (r.class, r.key);
+        let group = self.group_of(r).filter(|(scope, _)| *scope != Scope::All);
         let (probing, bound, home) = (self.probing(), group.is_some(), key.map(|key| self.home(key)));
         let all = if probing { self.probed.len() } else { self.live.len() };
         // The price of a crossing is drawn anew for each job: else all would cross at the same moment.
@@ -388,7 +388,7 @@
         let charged = self.settings.cross_price > 0.0
             && !self.near.is_empty()
             && self.zone_lateness(self.settings.zone) < cross;
-        let (mut best, mut found) = (None::<(f64, usize)>, 0);
+        let (mut best, mut found, start) = (None::<(f64, usize)>, 0, self.rng.usize(..all.max(1)));
         for draw in 0..if bound || probing { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
                 _ if probing => &self.probed,
@@ -396,7 +396,8 @@
                 _ if charged && !bound && draw % 2 == 0 => &self.near,
                 _ => &self.live,
             };
-            let at = if probing || bound { draw } else { self.rng.usize(..pool.len().max(1)) };
+            let random = if bound { start + draw } else { self.rng.usize(..pool.len().max(1)) };
+            let at = if probing { draw } else { random % pool.len().max(1) };
             let w = match home.filter(|_| !probing && !bound && !self.ring.is_empty()) {
                 Some(home) => self.ring[(home + draw) % self.ring.len()].1,
                 None => *pool.get(at)?,
@@ -503,10 +504,6 @@
 
     fn send(&mut self, id: RequestId, w: usize) {
         let Some(class) = self.open_attempt(id, w) else { return };
-        let s = &self.settings;
-        if s.second_copies && s.tells_start && s.classes[class].effect != Effect::Unsafe {
-            self.checks.push(Reverse((self.now.saturating_add((LATE * self.slack(class)) as Micros), id)));
-        }
         let r = &self.requests[&id];
         let cost = r.slots * r.size * self.expected_run(class, w);
         let worker = &mut self.workers[w];
@@ -519,7 +516,6 @@
 
     fn on_started(&mut self, id: RequestId, n: usize) {
         let Some((w, class, slots, waited)) = self.start_attempt(id, n) else { return };
-        self.dequeue(id); // it needs no second copy any more
         self.workers[w].turned_away = 0;
         self.on_news(w);
         self.learn_wait(w, waited);
@@ -601,18 +597,6 @@
         })
     }
 
-    /// An attempt that has queued for long gets a second copy where the class allows one.
-    fn copy_late_starters(&mut self) {
-        while let Some(&Reverse((_, id))) = self.checks.peek().filter(|c| c.0 .0 <= self.now) {
-            self.checks.pop();
-            let Some(r) = self.requests.get(&id) else { continue };
-            let waiting = r.open == 1 && r.attempts.iter().all(|a| !a.open || a.started.is_none());
-            if waiting && !r.done && !r.queued && r.leave_by > self.now && self.may_resend(r) {
-                self.enqueue(id);
-            }
-        }
-    }
-
     // ---- The cold budget ----
 
     /// Guards against pushing over a worker that has just started. Each dispatcher sends it the
@@ -693,7 +677,6 @@
             let again = self.now + (self.mean_run / 16.0) as Micros;
             next = next.min(first).min(if self.probing() { self.probe_at } else { again });
         }
-        next = self.checks.peek().map_or(next, |c| next.min(c.0 .0));
         self.wake_by(next.max(self.now + self.settings.tick.max(1)));
     }
 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -100,8 +100,6 @@
     pub may_probe: bool,
     /// Attempts may be cancelled.
     pub may_cancel: bool,
-    /// A request may have two attempts out at once.
-    pub second_copies: bool,
     /// Refusals may carry a retry-after.
     pub retry_after: bool,
     /// The longest retry-after that clients honour.
@@ -143,7 +141,6 @@
             reports: Reports::None,
             may_probe: false,
             may_cancel: true,
-            second_copies: true,
             retry_after: true,
             max_retry_after: 2_000_000,
             max_attempts: 6,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,7 +1,6 @@
 //! What a dispatcher remembers, and the bookkeeping of it. Decisions are in decide.rs.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -212,8 +211,6 @@
     /// All requests known; those held, by tier, in the order in which they must leave.
     pub(crate) requests: FxHashMap<RequestId, Request>,
     pub(crate) tiers: Vec<BTreeSet<(Micros, RequestId)>>,
-    /// When to look at an attempt again.
-    pub(crate) checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
     /// Workers with own jobs, and when each was last looked at.
     pub(crate) watched: VecDeque<(Micros, usize)>,
     /// Own outstanding slots, and the cap on them; work done for it, in slots: what waits is left out.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -87,8 +87,6 @@
     may_probe: bool,
     #[serde(default)]
     retry_after: bool,
-    #[serde(default)]
-    second_copies: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -242,7 +240,6 @@
         reports: word("load-info.how", &boot.load_info.how, &hows)?,
         may_probe: boot.limits.may_probe,
         may_cancel: boot.limits.cancelling,
-        second_copies: boot.limits.second_copies,
         retry_after: boot.limits.retry_after,
         max_retry_after: span("limits.max-retry-after-ms", boot.limits.max_retry_after_ms)?,
         max_attempts: boot.limits.max_attempts,
