Learn of late workers while jobs wait, by probes, and until they are met again

Causes: a scheduler meets each worker every 5 s, and forgets it in 8 mean running times, 2 s (`still_holds`); a late start counts when it comes (`on_started`), not when it is due; a round brings the cap to what is out (`not_accepted`), in which the queues are.

Change: what should have started counts at once (`count_overdue`); for each req a worker not met lately is probed beside the way; what is known of a worker holds until it is met again, 8 s at most; where more than a quarter of starts is late, rounds bring the cap to what is at work and its chance. The path on which jobs waited for probes (starts not told) is gone.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -32,6 +32,8 @@
 /// What a prompt start adds to the cap and a 'full' takes, per slot: it rests at a quarter late.
 const CAP_CLIMB: f64 = 0.1;
 const CAP_FALL: f64 = 0.3;
+/// Weight of a start in the share of late ones: with more than the cap rests at, it comes down by rounds.
+const LEARN_LATE: f64 = 0.15;
 /// Free slots a worker is taken to have where no reports come: with more, a full one is tried too soon.
 const UNTOLD: f64 = 4.0;
 /// Slots by which the cap may lie over twice what is out: few jobs come in bursts of several times a mean.
@@ -39,8 +41,10 @@
 /// The least cap: slots, and the share of what comes in. Keeps feedback coming, on any size of scheduler.
 const CAP_LEAST: f64 = 0.25;
 const CAP_LEAST_SHARE: f64 = 0.75;
-/// Mean running times for which a worker's pace is believed: slowness passes, and is tried again.
+/// Mean running times for which a worker's pace is believed: slowness passes, and is tried again. Where it
+/// is met less often than that, until it is met again, but no longer than troubles last.
 const PACE_HOLDS: f64 = 8.0;
+const MET_AGAIN: f64 = 8e6;
 /// A worker this much slower than the mean is given only jobs that still end in time there.
 const SLOW: f64 = 1.5;
 /// Share of the slack from a job's own work that holding leaves unused: small jobs have less.
@@ -62,9 +66,8 @@
 const ERRORS: u32 = 2;
 /// Share of a cold worker's budget that is used; the rest is for chance.
 const COLD_SAFETY: f64 = 0.5;
-/// Ticks for which probe results are used, and between rounds of probes.
-const PROBE_FRESH: u64 = 5;
-const PROBE_GAP: u64 = 4;
+/// Probes out at once.
+const MOST_PROBES: u32 = 16;
 /// Where more schedulers than a few share the director, each leaves it this long for every one of them,
 /// up to a share of the time within which it must ask.
 const FEW: u32 = 4;
@@ -201,18 +204,35 @@
     fn watch_for_silence(&mut self) {
         while let Some(w) = self.next_to_watch(self.mean_run / 2.0) {
             self.miss_progress(w);
+            self.count_overdue(w);
             let (worker, quiet) = (&self.workers[w], self.since(self.workers[w].quiet_since));
             let patience = if worker.unstarted > 0 { PATIENCE } else { PATIENCE_RUNNING };
             if quiet > patience * self.mean_run {
                 self.set_aside(w); // its jobs would hold the cap's slots until their deadlines
                 if self.workers[w].trials == 0 {
                     self.shun(w, PATIENCE * self.mean_run);
-                    self.learn_wait(w, quiet);
                 }
             }
         }
     }
 
+    /// Guards against learning of a queue only once its end is reached: what should have started counts as
+    /// a late start at once.
+    fn count_overdue(&mut self, w: usize) {
+        for (id, n) in self.workers[w].attempts.clone() {
+            let Some(r) = self.requests.get(&id).filter(|r| !r.done) else { continue };
+            let (class, slots, waited) = (r.class, r.slots, self.since(r.attempts[n].sent));
+            if r.attempts[n].started.is_none()
+                && waited > NOT_ACCEPTED * self.slack(class)
+                && self.overdue(id, n)
+            {
+                self.learn_wait(w, waited);
+                self.mark_full(w);
+                self.not_accepted(slots);
+            }
+        }
+    }
+
     fn shun(&mut self, w: usize, span: f64) {
         let jittered = span * (0.75 + 0.5 * self.rng.f64());
         let worker = &mut self.workers[w];
@@ -220,14 +240,16 @@
         (worker.shun_until, worker.trials) = (self.now + doubled as Micros, worker.trials + 1);
     }
 
-    /// How far a pace, or a wait, that was learned then still holds: 1 just learned, 0 long ago.
-    fn still_holds(&self, learned_at: Micros) -> f64 {
-        (-self.since(learned_at) / (PACE_HOLDS * self.mean_run)).exp()
+    /// How far a pace, or a wait, that was learned then of one among so many still holds: 1 just learned, 0
+    /// long ago.
+    fn still_holds(&self, learned_at: Micros, among: usize) -> f64 {
+        let met_again = (among as f64 / self.coming.last).min(MET_AGAIN);
+        (-self.since(learned_at) / (PACE_HOLDS * self.mean_run + met_again)).exp()
     }
 
     fn expected_run(&self, class: usize, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let fresh = self.still_holds(worker.paced_at);
+        let fresh = self.still_holds(worker.paced_at, self.live.len());
         self.classes[class].run * (1.0 + fresh * (worker.pace - 1.0))
     }
 
@@ -255,6 +277,7 @@
 
     fn on_request(&mut self, id: RequestId, mut r: Request, tenant: usize, remaining: Micros) {
         self.count_coming();
+        self.probe_unmet();
         let beyond = self.over_share(tenant); // worth little: it waits below all tiers within shares
         let Some(belief) = self.classes.get_mut(r.class) else {
             return self.actions.push(Action::Refuse { id, retry_after: None });
@@ -321,7 +344,6 @@
 
     /// Releases held jobs strictly top tier first while own outstanding slots stay under the cap.
     fn release(&mut self) {
-        self.forget_probes_older_than(PROBE_FRESH * self.settings.tick);
         if self.out == 0.0 && self.now >= self.round_until {
             // A cap below one job is rounded at random, anew each round: else it might never send.
             self.cap_dither = self.rng.f64();
@@ -340,7 +362,6 @@
                     passed += 1;
                 }
             }
-            self.probe_for(if passed > 0 { self.tiers[tier].len() } else { 0 });
             if !self.tiers[tier].is_empty() {
                 break;
             }
@@ -350,17 +371,20 @@
     // ---- The cap ----
 
     fn accepted(&mut self, slots: f64) {
+        self.late -= LEARN_LATE * self.late;
         if 2.0 * (self.out + slots) + CAP_ROOM > self.cap {
             self.cap += CAP_CLIMB * slots * (0.5 + self.rng.f64());
         }
     }
 
-    /// Each falls by a step. A cap far above what is out comes down by half, once in a round of feedback of
-    /// jittered length: after a restart little is out yet.
+    /// Each falls by a step. Where many are late, a cap above what is at work, and its chance, comes down
+    /// there by half, once in a round of feedback of jittered length: what is out would count queues as well.
     fn not_accepted(&mut self, slots: f64) {
-        if self.now >= self.round_until {
+        self.late += LEARN_LATE * (1.0 - self.late);
+        if self.now >= self.round_until && self.late > CAP_CLIMB / (CAP_CLIMB + CAP_FALL) {
             self.round_until = self.now + (self.mean_run * (0.75 + 0.5 * self.rng.f64())) as Micros;
-            self.cap = self.cap.min((self.out + slots + CAP_ROOM).max(self.cap / 2.0));
+            let at_work = self.at_work();
+            self.cap = self.cap.min((at_work + 2.0 * at_work.sqrt() + 1.0).max(self.cap / 2.0));
             self.cap_dither = self.rng.f64();
         }
         self.cap = (self.cap - CAP_FALL * slots).max(self.least_cap());
@@ -375,30 +399,27 @@
 
     /// The better of two random fitting workers, or none: then the job stays held. Every other draw is
     /// from the own zone where crossings are charged, and all from a key's home on the ring, where what
-    /// was fetched is used again; probe results are gone through as a whole, and so is the group to which
-    /// a keyed job is bound, from a random place: else all that are sent again go to the list's head.
+    /// was fetched is used again; the group to which a keyed job is bound is gone through as a whole, from a
+    /// random place: else all that are sent again go to the list's head.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         let r = self.requests.get(&id)?;
         let (class, key) = (r.class, r.key);
         let group = self.group_of(r).filter(|(scope, _)| *scope != Scope::All);
-        let (probing, bound, home) = (self.probing(), group.is_some(), key.map(|key| self.home(key)));
-        let all = if probing { self.probed.len() } else { self.live.len() };
+        let (bound, home, all) = (group.is_some(), key.map(|key| self.home(key)), self.live.len());
         // The price of a crossing is drawn anew for each job: else all would cross at the same moment.
         let cross = 2.0 * self.rng.f64() * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
         let charged = self.settings.cross_price > 0.0
             && !self.near.is_empty()
             && self.zone_lateness(self.settings.zone) < cross;
         let (mut best, mut found, start) = (None::<(f64, usize)>, 0, self.rng.usize(..all.max(1)));
-        for draw in 0..if bound || probing { all } else { DRAWS } {
+        for draw in 0..if bound { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
-                _ if probing => &self.probed,
                 Some(kind) if !bound => self.live_by_kind.get(&kind)?,
                 _ if charged && !bound && draw % 2 == 0 => &self.near,
                 _ => &self.live,
             };
-            let random = if bound { start + draw } else { self.rng.usize(..pool.len().max(1)) };
-            let at = if probing { draw } else { random % pool.len().max(1) };
-            let w = match home.filter(|_| !probing && !bound && !self.ring.is_empty()) {
+            let at = if bound { (start + draw) % pool.len() } else { self.rng.usize(..pool.len().max(1)) };
+            let w = match home.filter(|_| !bound && !self.ring.is_empty()) {
                 Some(home) => self.ring[(home + draw) % self.ring.len()].1,
                 None => *pool.get(at)?,
             };
@@ -408,7 +429,7 @@
             let found_one = (self.load(class, w, cross), w);
             best = best.filter(|b| b.0 <= found_one.0).or(Some(found_one));
             found += 1;
-            if found == 2 && !probing {
+            if found == 2 {
                 break;
             }
         }
@@ -429,22 +450,22 @@
     /// many workers, own counts show nothing of it.
     fn lateness(&self, w: usize) -> f64 {
         let worker = &self.workers[w];
-        let known = self.still_holds(worker.waited_at);
+        let known = self.still_holds(worker.waited_at, self.live.len());
         WAIT_SLOTS * known * worker.wait / self.mean_run + (1.0 - known) * self.zone_lateness(worker.zone)
     }
 
     fn zone_lateness(&self, zone: u32) -> f64 {
-        let wait = self.zones.get(&zone).map_or(0.0, |(wait, at)| self.still_holds(*at) * wait);
+        let wait = self.zones.get(&zone).map_or(0.0, |(wait, at)| self.still_holds(*at, 0) * wait);
         WAIT_SLOTS * wait / self.mean_run
     }
 
     fn learn_wait(&mut self, w: usize, waited: f64) {
-        let fresh = self.still_holds(self.workers[w].waited_at);
+        let fresh = self.still_holds(self.workers[w].waited_at, self.live.len());
         let worker = &mut self.workers[w];
         worker.wait = fresh * worker.wait + LEARN_WAIT * (waited - fresh * worker.wait);
         worker.waited_at = self.now;
         let (wait, at) = self.zones.get(&worker.zone).copied().unwrap_or_default();
-        let held = self.still_holds(at) * wait;
+        let held = self.still_holds(at, 0) * wait;
         self.zones.insert(self.workers[w].zone, (held + LEARN_ZONE * (waited - held), self.now));
     }
 
@@ -468,36 +489,34 @@
         may && in_time && room && self.cold_allows(w)
     }
 
-    /// Where only probes tell the load, two workers are probed for a held job, and again while none
-    /// is free. The first of the two has an open connection where a new one is charged.
-    fn probe_for(&mut self, held: usize) {
-        if held == 0 || !self.probing() || self.now < self.probe_at || self.live.is_empty() {
+    /// Guards against knowing too little where many dispatchers meet each worker seldom: for each request,
+    /// beside its way, one is drawn, and asked how much waits there unless it was met lately.
+    fn probe_unmet(&mut self) {
+        let s = &self.settings;
+        if !s.may_probe
+            || s.reports != Reports::Probe
+            || self.live.is_empty()
+            || self.probes_out >= MOST_PROBES
+        {
             return;
         }
-        for n in 0..(2 * held as u32).min(4).saturating_sub(self.probes_out) {
-            let mut w = self.live[self.rng.usize(..self.live.len())];
-            let mut draws = if n == 0 && self.settings.handshake_price > 0.0 { DRAWS } else { 0 };
-            while draws > 0
-                && (self.workers[w].idle_until <= self.now || self.workers[w].shun_until > self.now)
-            {
-                w = self.live[self.rng.usize(..self.live.len())];
-                draws -= 1;
-            }
+        let w = self.live[self.rng.usize(..self.live.len())];
+        if self.since(self.workers[w].waited_at) > self.mean_run {
             self.probes_out += 1;
             self.actions.extend(self.workers[w].id.map(|worker| Action::Probe { worker }));
         }
-        self.probe_at = self.now + PROBE_GAP * self.settings.tick.max(1);
     }
 
     fn on_probed(&mut self, worker: WorkerId, ending: Ending, report: Option<Report>) {
         self.probes_out = self.probes_out.saturating_sub(1);
         let Some(&w) = self.index.get(&worker) else { return };
-        if ending != Ending::Delivered {
-            return self.shun(w, PATIENCE * self.mean_run);
+        let told = report.filter(|_| ending == Ending::Delivered).unwrap_or_default();
+        let waiting = told.backlog.unwrap_or(if ending == Ending::Delivered { 0.0 } else { PATIENCE });
+        let running = told.outstanding.map_or(1.0, |all| (all - waiting).max(1.0));
+        self.learn_wait(w, self.mean_run * waiting / running);
+        if self.settings.tells_load() {
+            self.on_report(w, told);
         }
-        report.into_iter().for_each(|report| self.on_report(w, report));
-        self.probed.retain(|&p| p != w);
-        self.probed.push(w);
     }
 
     // ---- Attempts and time-outs ----
@@ -523,7 +542,7 @@
             self.mark_full(w);
         }
         match waited > NOT_ACCEPTED * self.slack(class) {
-            true => self.not_accepted(slots),
+            true => _ = self.overdue(id, n).then(|| self.not_accepted(slots)),
             false => self.accepted(slots),
         }
     }
@@ -675,7 +694,7 @@
         if let Some(first) = self.tiers.iter().filter_map(|t| t.first().map(|h| h.0)).min() {
             // Held jobs are tried again as beliefs age, and refused before it is too late.
             let again = self.now + (self.mean_run / 16.0) as Micros;
-            next = next.min(first).min(if self.probing() { self.probe_at } else { again });
+            next = next.min(first).min(again);
         }
         self.wake_by(next.max(self.now + self.settings.tick.max(1)));
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -88,6 +88,8 @@
     pub open: bool,
     /// Its connection has gone silent, though its worker has not: it is not counted there.
     pub astray: bool,
+    /// It was counted as one that started too late.
+    pub late: bool,
     pub may_have_run: bool,
 }
 
@@ -219,6 +221,7 @@
     pub(crate) done: Rate,
     pub(crate) cap: f64,
     pub(crate) cap_dither: f64,
+    pub(crate) late: f64,
     /// Processes of this scheduler that live beside this one.
     pub(crate) sharers: usize,
     pub(crate) round_until: Micros,
@@ -229,9 +232,7 @@
     pub(crate) wake_at: Micros,
     pub(crate) ask_at: Micros,
     pub(crate) ask_failures: u32,
-    pub(crate) probed: Vec<usize>,
     pub(crate) probes_out: u32,
-    pub(crate) probe_at: Micros,
 }
 
 impl Dispatcher {
@@ -323,12 +324,6 @@
         (total, total - self.tiers.last().map_or(0, BTreeSet::len))
     }
 
-    /// Keeps only the probe results that are fresh.
-    pub(crate) fn forget_probes_older_than(&mut self, age: Micros) {
-        let (workers, now) = (&self.workers, self.now);
-        self.probed.retain(|&w| workers[w].heard.is_some_and(|at| now.saturating_sub(at) <= age));
-    }
-
     /// Asks for a timer, unless an earlier one is set.
     pub(crate) fn wake_by(&mut self, at: Micros) {
         if at < self.wake_at {
@@ -337,11 +332,6 @@
         }
     }
 
-    /// Whether the load is told by probes only, not even by starts.
-    pub(crate) fn probing(&self) -> bool {
-        self.settings.tells_load() && self.settings.reports == Reports::Probe
-    }
-
     /// How long ago that was.
     pub(crate) fn since(&self, at: Micros) -> f64 {
         self.now.saturating_sub(at) as f64
@@ -377,7 +367,7 @@
             let worker = known.unwrap_or_else(|| self.enter(&unlisted).0);
             let sent = self.now.saturating_sub(e.ago);
             let (open, astray, may_have_run) = (false, false, true);
-            Attempt { worker, sent, started: None, heard: sent, open, astray, may_have_run }
+            Attempt { worker, sent, started: None, heard: sent, open, astray, late: false, may_have_run }
         };
         earlier.iter().map(ended).collect()
     }
@@ -387,7 +377,16 @@
         let r = self.requests.get_mut(&id)?;
         let (slots, class, sent) = (r.slots, r.class, self.now);
         let (started, open, astray, may_have_run) = (None, true, false, true);
-        r.attempts.push(Attempt { worker: w, sent, started, heard: sent, open, astray, may_have_run });
+        r.attempts.push(Attempt {
+            worker: w,
+            sent,
+            started,
+            heard: sent,
+            open,
+            astray,
+            late: false,
+            may_have_run,
+        });
         self.workers[w].attempts.push((id, r.attempts.len() - 1));
         r.open += 1;
         let worker = &mut self.workers[w];
@@ -489,6 +488,12 @@
         }
     }
 
+    /// Whether an attempt is counted now, for the first time, as one that starts too late: on its start, or before.
+    pub(crate) fn overdue(&mut self, id: RequestId, n: usize) -> bool {
+        let attempt = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(n));
+        attempt.is_some_and(|a| a.open && !std::mem::replace(&mut a.late, true))
+    }
+
     /// Keeps a report, and count of how often a worker's report changes; tells whether it is the
     /// one that came last.
     pub(crate) fn seen_before(&mut self, w: usize, report: &Report) -> bool {
@@ -668,7 +673,6 @@
         let moved = |w: &mut usize| place[*w].inspect(|to| *w = *to).is_some();
         self.index.retain(|_, w| moved(w));
         self.watched.retain_mut(|(_, w)| moved(w));
-        self.probed.retain_mut(|w| moved(w));
         let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
         attempts.for_each(|a| _ = moved(&mut a.worker));
     }
