Count a refused dial as no prompt start, and a fresh scheduler's rates by what it saw

Cause: `Rate` fades from 0 over 16 running times, so that a fresh scheduler's usual work, and with it the cold budgets, is a part of the truth for 4 s. Now the time since its first count stands for the span, a fifth of it at the least.

The tests fail without either.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -588,7 +588,7 @@
             Ending::DialFailed | Ending::Dropped | Ending::Expired => {
                 let dial = 4.0 * self.settings.connect_timeout as f64;
                 if started.is_none() {
-                    self.learn_wait(w, self.since(sent).min(self.slack(class)));
+                    self.learn_wait(w, self.slack(class)); // however soon: a refused dial is no prompt start
                 }
                 self.shun(w, if how == Ending::DialFailed { dial } else { PATIENCE * self.mean_run });
             }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -13,6 +13,8 @@
 /// some dozens, also in a large fleet.
 const LEAVING_SPAN: f64 = 4.0;
 const COMING_SPAN: f64 = 16.0;
+/// The share of such a span that a rate is taken to stand for at the least.
+const LEAST_SEEN: f64 = 0.2;
 /// Requests of a tenant that may come at once within its share: where a second brings less than one, two
 /// close together are chance.
 const SHARE_BURST: f64 = 4.0;
@@ -161,21 +163,35 @@
     }
 }
 
-/// How much comes in a microsecond, lately: what was counted fades over a span.
+/// How much comes in a microsecond, lately: what was counted fades over a span. Of a younger one the time since
+/// its first count stands for the span. Guards against a fresh dispatcher that believes for seconds that hardly
+/// anything comes in or is done: all together then send cold workers, where most have restarted, next to nothing.
 #[derive(Default)]
 pub(crate) struct Rate {
     /// As of the last count.
     pub last: f64,
+    counted: f64,
+    /// The share of the span that was seen.
+    seen: f64,
     at: Micros,
 }
 
 impl Rate {
+    fn faded(&self, now: Micros, span: f64) -> (f64, f64) {
+        let kept = (-(now.saturating_sub(self.at) as f64) / span).exp();
+        let seen = if self.at == 0 { 0.0 } else { 1.0 - (1.0 - self.seen) * kept };
+        (self.counted * kept, seen)
+    }
+
     fn count(&mut self, now: Micros, amount: f64, span: f64) {
-        *self = Rate { last: self.now(now, span) + amount / span, at: now };
+        let (counted, seen) = self.faded(now, span);
+        let counted = counted + amount / span;
+        *self = Rate { last: counted / seen.max(LEAST_SEEN), counted, seen, at: now };
     }
 
     fn now(&self, now: Micros, span: f64) -> f64 {
-        self.last * (-(now.saturating_sub(self.at) as f64) / span).exp()
+        let (counted, seen) = self.faded(now, span);
+        counted / seen.max(LEAST_SEEN)
     }
 }
 
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -1091,31 +1091,66 @@
     assert!(held < 40, "{held} of 2000 were not sent at once");
 }
 
-/// Guards against meeting each worker of a lost zone: hundreds of schedulers meet one some times a minute.
+/// Guards against meeting each worker of a lost zone: hundreds of schedulers meet one some times a minute. Also
+/// where dials are refused at once: that was taken for a prompt start.
 #[test]
 fn a_zone_is_left_when_some_of_its_workers_cannot_be_reached() {
-    let mut bench = Bench::new(Settings { cross_price: 0.03, dispatchers: 300, ..settings() }, 0);
-    let rows: Vec<Row> = (0..120).map(|w| Row { zone: w % 2, ..row(w) }).collect();
-    bench.event(Event::List { kind: ListKind::All, rows: &rows });
-    bench.serve(0, 30, 100 * MS);
-    let mut home = 0;
-    for _ in 0..40 {
-        let (id, actions) = bench.request(0);
-        let mut at = sent(&actions, id);
-        for attempt in 0..4 {
-            let Some(worker) = at else { break };
-            if worker.0 % 2 == 1 {
-                bench.started(id, attempt);
+    let tries = |refused_after: Micros| {
+        let mut bench = Bench::new(Settings { cross_price: 0.03, dispatchers: 300, ..settings() }, 0);
+        let rows: Vec<Row> = (0..120).map(|w| Row { zone: w % 2, ..row(w) }).collect();
+        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+        bench.serve(0, 30, 100 * MS);
+        let mut home = 0;
+        for _ in 0..40 {
+            let (id, actions) = bench.request(0);
+            let mut at = sent(&actions, id);
+            for attempt in 0..4 {
+                let Some(worker) = at else { break };
+                if worker.0 % 2 == 1 {
+                    bench.started(id, attempt);
+                    bench.now += 100 * MS;
+                    bench.settled(id, attempt, Ending::Delivered);
+                    break;
+                }
+                home += 1;
+                bench.now += refused_after;
+                at = sent(&bench.settled(id, attempt, Ending::DialFailed), id);
+            }
+        }
+        home
+    };
+    let (silent, refused) = (tries(200 * MS), tries(0));
+    assert!(silent < 60 && refused < 30, "{silent} and {refused} tries at a zone that is lost");
+}
+
+/// Guards against dispatchers that have all just started, and send successors next to nothing for seconds: the
+/// work that they have seen done is that of the time since, not of a span of which they saw the end.
+#[test]
+fn a_fresh_dispatcher_soon_counts_on_the_work_it_sees_done() {
+    let to_cold = |busy: u64| {
+        let mut sent_cold = 0;
+        for seed in 0..30 {
+            let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
+            let dispatcher = Dispatcher::new(cold, seed).expect("usable");
+            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
+            let mut rows: Vec<Row> = (0..20).map(row).collect();
+            bench.event(Event::List { kind: ListKind::All, rows: &rows });
+            for n in 0..busy + 20 {
+                if n == busy {
+                    rows[..10].iter_mut().for_each(|row| row.online_since = bench.now);
+                    bench.event(Event::List { kind: ListKind::Changes, rows: &rows[..10] });
+                }
+                let (id, actions) = bench.request(1);
+                sent_cold += u32::from(n >= busy && sent(&actions, id).is_some_and(|w| w.0 < 10));
+                bench.started(id, 0);
                 bench.now += 100 * MS;
-                bench.settled(id, attempt, Ending::Delivered);
-                break;
+                bench.settled(id, 0, Ending::Delivered);
             }
-            home += 1;
-            bench.now += 200 * MS;
-            at = sent(&bench.settled(id, attempt, Ending::DialFailed), id);
         }
-    }
-    assert!(home < 60, "{home} tries at a zone that is lost");
+        sent_cold
+    };
+    let (fresh, old) = (to_cold(10), to_cold(200));
+    assert!(3 * fresh > old, "{fresh} jobs to cold workers, {old} by dispatchers that have seen a lot");
 }
 
 /// Guards against a cold worker pushed over by a fleet that is too full: jobs that waited counted as work that
