--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -1123,6 +1123,42 @@
     assert!(silent < 60 && refused < 30, "{silent} and {refused} tries at a zone that is lost");
 }
 
+/// Guards against an outage that grows by what is sent again: half of the workers refuse at once, or reset what
+/// they took, and the list does not tell. Over all dispatchers, each of which meets a worker seldom.
+#[test]
+fn what_is_sent_again_in_an_outage_is_a_share_of_what_comes() {
+    for (ending, most) in [(Ending::DialFailed, 1.45), (Ending::Dropped, 1.25)] {
+        let (mut sends, mut reqs) = (0, 0);
+        for seed in 0..50 {
+            let thin = Settings { dispatchers: 50, ..settings() };
+            let dispatcher = Dispatcher::new(thin, seed).expect("usable");
+            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
+            let rows: Vec<Row> = (0..60).map(row).collect();
+            bench.event(Event::List { kind: ListKind::All, rows: &rows });
+            bench.serve(0, 10, 100 * MS);
+            for n in 0..100u32 {
+                let (id, actions) = bench.request(n % 2);
+                let (mut at, mut attempt) = (sent(&actions, id), 0);
+                reqs += 1;
+                while let Some(worker) = at {
+                    sends += 1;
+                    if worker.0 < 30 {
+                        at = sent(&bench.settled(id, attempt, ending), id);
+                        attempt += 1;
+                        continue;
+                    }
+                    bench.started(id, attempt);
+                    bench.now += 100 * MS;
+                    bench.settled(id, attempt, Ending::Delivered);
+                    break;
+                }
+            }
+        }
+        let each = f64::from(sends) / f64::from(reqs);
+        assert!(each > 1.0 && each < most, "{each} sends for each of {reqs} reqs where {ending:?}");
+    }
+}
+
 /// Guards against dispatchers that have all just started, and send successors next to nothing for seconds: the
 /// work that they have seen done is that of the time since, not of a span of which they saw the end.
 #[test]
