--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -47,7 +47,12 @@
 
 impl Bench {
     pub fn new(settings: Settings, workers: u32) -> Self {
-        let dispatcher = Dispatcher::new(settings, 11).expect("usable settings");
+        Bench::seeded(settings, workers, 11)
+    }
+
+    /// One of many, each with a seed of its own.
+    pub fn seeded(settings: Settings, workers: u32, seed: u64) -> Self {
+        let dispatcher = Dispatcher::new(settings, seed).expect("usable settings");
         let mut bench = Bench { dispatcher, now: START, actions: Vec::new(), next: 0 };
         let rows: Vec<Row> = (0..workers).map(row).collect();
         bench.event(Event::List { kind: ListKind::Remembered, rows: &rows });
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -272,10 +272,7 @@
     all.classes[2].scope = Scope::All;
     let mut again = std::collections::HashSet::new();
     for seed in 0..40 {
-        let mut bench = Bench::new(all.clone(), 0);
-        bench.dispatcher = Dispatcher::new(all.clone(), seed).expect("usable");
-        let rows: Vec<Row> = (0..30).map(row).collect();
-        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+        let mut bench = Bench::seeded(all.clone(), 30, seed);
         let (keyed, _) = bench.request(2);
         for _ in 0..20 {
             assert!(sent(&bench.wait(10 * MS), keyed).is_none(), "a copy of what may yet start");
@@ -837,10 +834,7 @@
 fn a_cap_below_one_job_sends_now_and_then() {
     // Guards against rounding such a cap once: then it may stay at no job at all for ever.
     let sends = |seed: u64| {
-        let dispatcher = Dispatcher::new(Settings { dispatchers: 50, ..settings() }, seed).expect("usable");
-        let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
-        let rows: Vec<Row> = (0..2).map(row).collect();
-        bench.event(Event::List { kind: ListKind::Remembered, rows: &rows });
+        let mut bench = Bench::seeded(Settings { dispatchers: 50, ..settings() }, 2, seed);
         bench.dispatcher.learn(0.3, 400_000.0, &[[400_000.0, 400_000.0, 20.0]; 3]);
         let mut sent = 0;
         for _ in 0..20 {
@@ -1130,11 +1124,7 @@
     for (ending, most) in [(Ending::DialFailed, 1.45), (Ending::Dropped, 1.25)] {
         let (mut sends, mut reqs) = (0, 0);
         for seed in 0..50 {
-            let thin = Settings { dispatchers: 50, ..settings() };
-            let dispatcher = Dispatcher::new(thin, seed).expect("usable");
-            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
-            let rows: Vec<Row> = (0..60).map(row).collect();
-            bench.event(Event::List { kind: ListKind::All, rows: &rows });
+            let mut bench = Bench::seeded(Settings { dispatchers: 50, ..settings() }, 60, seed);
             bench.serve(0, 10, 100 * MS);
             for n in 0..100u32 {
                 let (id, actions) = bench.request(n % 2);
@@ -1167,10 +1157,8 @@
         let mut sent_cold = 0;
         for seed in 0..30 {
             let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
-            let dispatcher = Dispatcher::new(cold, seed).expect("usable");
-            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
+            let mut bench = Bench::seeded(cold, 20, seed);
             let mut rows: Vec<Row> = (0..20).map(row).collect();
-            bench.event(Event::List { kind: ListKind::All, rows: &rows });
             for n in 0..busy + 20 {
                 if n == busy {
                     rows[..10].iter_mut().for_each(|row| row.online_since = bench.now);
@@ -1197,10 +1185,8 @@
         let mut sent_cold = 0;
         for seed in 0..30 {
             let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
-            let dispatcher = Dispatcher::new(cold, seed).expect("usable");
-            let mut bench = Bench { dispatcher, ..Bench::new(settings(), 0) };
+            let mut bench = Bench::seeded(cold, 40, seed);
             let mut rows: Vec<Row> = (0..40).map(row).collect();
-            bench.event(Event::List { kind: ListKind::All, rows: &rows });
             let mut out = std::collections::VecDeque::new();
             for n in 0..1_000u64 {
                 bench.now += 10 * MS;
