Keep the timer that the decisions want: the first tick forgot a later one

Cause: Facade kept one wake_at that began with 0, so that the first tick asks a fresh scheduler for the list. A start with a list among more than four schedulers sets the module's own timer before it (on_list, ask_spread); feed took the minimum, 0, and the tick dropped both. The module believes its timer outstanding and asks only for earlier ones (wake_by), so without traffic the director is never called, and what is held after that moment passed is looked at by nobody. Ruled out: the runtime's timer (tick told None) and the module (wake_at held the right moment).

Change: the first tick is a flag of its own; what is wanted stays. After each event the facade's timer and the module's are held to be the same (asserted, counted in release).

Measured: the random-step model now plays one and a hundred schedulers; without the change it finds no subscription in 20 s, and the plain test 0 calls for 1.

--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade.rs
@@ -187,7 +187,10 @@
     reqs: FxHashMap<u64, Open>,
     backends: FxHashMap<WorkerId, Rc<str>>,
     last: u64,
+    /// When the module wants its timer: always what it believes to be set, or nobody would wake it.
     wake_at: Option<Micros>,
+    /// The first tick has been.
+    begun: bool,
     due: Due,
     timer: Option<Waker>,
     tally: Tally,
@@ -202,8 +205,8 @@
             reqs: FxHashMap::default(),
             backends: FxHashMap::default(),
             last: 0,
-            // Guards against a start without a list: nothing else would let the module ask for one.
-            wake_at: Some(0),
+            wake_at: None,
+            begun: false,
             due: Due::default(),
             timer: None,
             tally: Tally::default(),
@@ -313,8 +316,13 @@
     /// Runs the timer where it is due, and hands over what else is to be done. The waker is woken
     /// when the next call should come sooner than said here.
     pub fn tick(&mut self, now: Micros, waker: &Waker) -> Due {
-        if self.wake_at.is_some_and(|at| at <= now) {
+        let due = self.wake_at.is_some_and(|at| at <= now);
+        if due {
             self.wake_at = None;
+        }
+        // The first one in any case: guards against a start without a list, where nothing else would let the
+        // module ask for one. What it wants by then stays.
+        if !std::mem::replace(&mut self.begun, true) || due {
             self.feed(now, Event::Timer);
         }
         self.timer = Some(waker.clone());
@@ -470,6 +478,8 @@
             self.act(now, action);
         }
         self.actions = actions;
+        let kept = self.wake_at.unwrap_or(Micros::MAX) == self.dispatcher.wake_wanted();
+        self.must(kept, "a timer is lost");
     }
 
     fn act(&mut self, now: Micros, action: Action) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -361,6 +361,11 @@
         }
     }
 
+    /// When it wants its timer; the largest number: never.
+    pub(crate) fn wake_wanted(&self) -> Micros {
+        self.wake_at
+    }
+
     /// How long ago that was.
     pub(crate) fn since(&self, at: Micros) -> f64 {
         self.now.saturating_sub(at) as f64
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -46,7 +46,10 @@
     ]
 }
 
-fn settings() -> Settings {
+/// Of one scheduler, and of one among so many that its calls for the list wait for their moment.
+const SCHEDULERS: [u32; 2] = [1, 100];
+
+fn settings(dispatchers: u32) -> Settings {
     let class = |worth: f64, effect: Effect| Class {
         aim: 150 * MS,
         stretch: 2.0,
@@ -59,7 +62,7 @@
         kind: None,
     };
     let classes = vec![class(10.0, Effect::Unsafe), class(30.0, Effect::Keyed)];
-    Settings { classes, max_attempts: 4, list_on_request: true, ..Settings::default() }
+    Settings { dispatchers, classes, max_attempts: 4, list_on_request: true, ..Settings::default() }
 }
 
 /// Notes that it was woken.
@@ -105,8 +108,8 @@
 }
 
 impl World {
-    fn new() -> Self {
-        let facade = Facade::new(settings(), 3).expect("usable");
+    fn new(dispatchers: u32) -> Self {
+        let facade = Facade::new(settings(dispatchers), 3).expect("usable");
         let (reqs, order) = (HashMap::new(), Vec::new());
         let mut world = World {
             facade,
@@ -318,9 +321,9 @@
     let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let steps = prop::collection::vec(step(), 1..150);
-    let outcome = runner.run(&steps, |steps| {
-        let mut world = World::new();
+    let steps = (prop::sample::select(&SCHEDULERS[..]), prop::collection::vec(step(), 1..150));
+    let outcome = runner.run(&steps, |(dispatchers, steps)| {
+        let mut world = World::new(dispatchers);
         steps.into_iter().for_each(|s| world.step(s));
         world.wait_until(world.now + 20_000 * MS);
         assert!(world.reqs.values().all(|r| r.over), "a req was left without an answer");
@@ -342,9 +345,25 @@
     outcome.expect("the model holds");
 }
 
+/// Guards against a timer that is lost: nobody else wakes a scheduler without traffic, nor what is held by one
+/// whose start was quiet.
+#[test]
+fn as_long_as_the_decisions_want_to_be_woken_somebody_wakes_them() {
+    for dispatchers in SCHEDULERS {
+        let mut world = World::new(dispatchers);
+        world.wait_until(world.now + 10_000 * MS);
+        assert_eq!(world.subscriptions, 1, "one call, within the time in which it must ask");
+        // The call is under way, and nothing else happens: what is held is answered by the timer alone.
+        world.step(Step::Whole(0, false));
+        world.step(Step::Take(0, 400));
+        world.wait_until(world.now + 400 * MS);
+        assert!(world.reqs.values().all(|r| r.over), "it is held and nobody looks at it");
+    }
+}
+
 #[test]
 fn a_second_word_on_a_fetch_is_ignored_and_a_name_stays_a_name() {
-    let mut world = World::new();
+    let mut world = World::new(1);
     let name: Rc<str> = "s-0".into();
     world.facade.report(world.now, Seen::Probed(&name, true, Some(Report::default())));
     world.step(Step::Take(0, 5_000));
