Play all of a round in turn by quarter seconds, so that the processor's drift cancels

Cause: the bare forwarder alone took 66 to 90 us a job from one run to the next, as the processor was faster or slower for seconds; ratios of runs one after the other went from 1.21 to 1.96 for one and the same program.

Now the forwarder and the schedulers of a round live at once and get a quarter second each in turn.

--- a/crates/standin/src/bin/oakshed-price/load.rs
+++ b/crates/standin/src/bin/oakshed-price/load.rs
@@ -87,12 +87,19 @@
         while let Some(Ok(ended)) = out.join_next().await {
             answers.take(ended);
         }
-        answers.times.sort();
         answers
     }
 }
 
 impl Answers {
+    pub fn add(&mut self, more: Answers) {
+        self.served += more.served;
+        self.others += more.others;
+        self.opened += more.opened;
+        self.times.extend(more.times);
+        self.times.sort();
+    }
+
     fn take(&mut self, (status, time): (Option<StatusCode>, Duration)) {
         match status {
             Some(StatusCode::OK) => self.served += 1,
--- a/crates/standin/src/bin/oakshed-price/main.rs
+++ b/crates/standin/src/bin/oakshed-price/main.rs
@@ -24,6 +24,8 @@
 
 /// What of the settings' text tells the schedulers beside the one under test.
 const ALONE: &str = r#""balancers":1"#;
+/// Parts of a second in which each of a round is played.
+const SLICES: u32 = 4;
 /// Reports that come by probe, beside what the settings hold.
 const LIMITS: &str = r#""limits":{"#;
 const PROBING: &str = r#""load-info":{"how":"probe"},"limits":{"may-probe":true,"#;
@@ -105,18 +107,26 @@
     let balancers = if args.balancers.is_empty() { vec![1, 100] } else { args.balancers.clone() };
     let mut ratios = vec![Vec::new(); balancers.len()];
     for round in 1..=args.rounds {
-        let forwarder = Tested::Forwarder(Forwarder::start(&addresses)?);
-        let bare = measure(args, &forwarder).await?;
-        tell(round, "bare forwarder", &bare, None);
-        drop(forwarder);
-        for (&many, ratios) in balancers.iter().zip(&mut ratios) {
+        let mut runs =
+            vec![Run::new("bare forwarder", Tested::Forwarder(Forwarder::start(&addresses)?), args).await?];
+        for &many in &balancers {
             let named = format!(r#""balancers":{many}"#);
             let edits = [(ALONE, named.as_str()), (LIMITS, if args.probes { PROBING } else { LIMITS })];
             let scheduler = Tested::Scheduler(Program::start_with(&director, 1024, &edits));
-            let priced = measure(args, &scheduler).await?;
-            let ratio = priced.0 / bare.0;
-            tell(round, &format!("oakshed, one of {many}"), &priced, Some(ratio));
-            ratios.push(ratio);
+            runs.push(Run::new(&format!("oakshed, one of {many}"), scheduler, args).await?);
+        }
+        for _ in 0..args.seconds * SLICES {
+            for run in &mut runs {
+                run.slice(args.rate).await?;
+            }
+        }
+        let bare = runs[0].price();
+        for (run, ratios) in runs.iter().skip(1).zip(&mut ratios) {
+            ratios.push(run.price() / bare);
+        }
+        for run in &runs {
+            let (what, price, ratio) = (&run.what, run.price(), run.price() / bare);
+            println!("round {round}, {what:<20} {price:6.1} us a job, ratio {ratio:.2}; {}", run.answers);
         }
     }
     for (many, ratios) in balancers.iter().zip(&mut ratios) {
@@ -128,18 +138,35 @@
     Ok(())
 }
 
-/// Microseconds of processor time a job, and the answers. What comes up at first is left out.
-async fn measure(args: &Args, tested: &Tested) -> Outcome<(f64, Answers)> {
-    let (pid, address) = tested.at();
-    let load = Load::connect(address, args.clients).await?;
-    load.play(args.rate / 2, args.rate).await;
-    let before = processor::used(pid)?;
-    let answers = load.play(args.rate * args.seconds, args.rate).await;
-    let used = processor::used(pid)?.saturating_sub(before);
-    Ok((used.as_secs_f64() * 1e6 / f64::from(answers.sent().max(1)), answers))
+/// One that is under test in a round. All of a round live at once and are played in turn, a slice each:
+/// guards against a processor that is faster in one second than in the next.
+struct Run {
+    what: String,
+    tested: Tested,
+    load: Load,
+    used: Duration,
+    answers: Answers,
 }
 
-fn tell(round: usize, what: &str, (price, answers): &(f64, Answers), ratio: Option<f64>) {
-    let ratio = ratio.map_or(String::new(), |r| format!(", ratio {r:.2}"));
-    println!("round {round}, {what:<20} {price:6.1} us a job{ratio}; {answers}");
+impl Run {
+    /// What comes up at first is left out.
+    async fn new(what: &str, tested: Tested, args: &Args) -> Outcome<Run> {
+        let load = Load::connect(tested.at().1, args.clients).await?;
+        load.play(args.rate / 2, args.rate).await;
+        let (what, used, answers) = (what.to_owned(), Duration::ZERO, Answers::default());
+        Ok(Run { what, tested, load, used, answers })
+    }
+
+    async fn slice(&mut self, rate: u32) -> Outcome<()> {
+        let pid = self.tested.at().0;
+        let before = processor::used(pid)?;
+        self.answers.add(self.load.play(rate / SLICES, rate).await);
+        self.used += processor::used(pid)?.saturating_sub(before);
+        Ok(())
+    }
+
+    /// Microseconds of processor time a job.
+    fn price(&self) -> f64 {
+        self.used.as_secs_f64() * 1e6 / f64::from(self.answers.sent().max(1))
+    }
 }
