Parse heads without clearing room for fields, count clients only where many; tell the price

Cause: each look at a head cleared room for 100 fields, and each answer went through all clients' connections to count those known (0.4 of 100 samples at 64, in proportion to their number), though no more can be known than there are.

Nothing in the decisions was changed: they and the facade take some 8 of 111 us a job, in many small pieces.

--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -139,7 +139,8 @@
     fn keep_room(&self, sockets: usize, now: Micros) {
         let open = self.open.borrow();
         let known = || open.iter().filter(|c| c.known.get() && !c.told_to_close.get());
-        if known().count() > sockets / 3 * 3 / 4 {
+        let most = sockets / 3 * 3 / 4;
+        if open.len() > most && known().count() > most {
             // One that was answered just now may not have all of its answer yet.
             let begun = |c: &Client| c.intake.part(tokio::time::Instant::now()).is_some();
             let idle = known().filter(|c| !begun(c));
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -10,13 +10,14 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use httparse::{Header, Request, Status, EMPTY_HEADER};
+use httparse::{Header, Request, Status};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -107,9 +108,9 @@
     if held.first().is_some_and(|b| !b.is_ascii_uppercase() && !b"\r\n".contains(b)) {
         return Next::Unreadable;
     }
-    let mut fields = [EMPTY_HEADER; MOST_FIELDS];
-    let mut request = Request::new(&mut fields);
-    let head = match request.parse(held) {
+    let (mut fields, mut none) = ([const { MaybeUninit::uninit() }; MOST_FIELDS], []);
+    let mut request = Request::new(&mut none);
+    let head = match request.parse_with_uninit_headers(held, &mut fields) {
         Ok(Status::Complete(head)) => head,
         Ok(Status::Partial) if held.len() < LONGEST_HEAD => return Next::Incomplete,
         _ => return Next::Unreadable,
