--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -139,7 +139,8 @@
     fn keep_room(&self, sockets: usize, now: Micros) {
         let open = self.open.borrow();
         let known = || open.iter().filter(|c| c.known.get() && !c.told_to_close.get());
-        if known().count() > sockets / 3 * 3 / 4 {
+        let most = sockets / 3 * 3 / 4;
+        if open.len() > most && known().count() > most {
             // One that was answered just now may not have all of its answer yet.
             let begun = |c: &Client| c.intake.part(tokio::time::Instant::now()).is_some();
             let idle = known().filter(|c| !begun(c));
@@ -233,17 +234,18 @@
     clients.open.borrow_mut().push(client.clone());
     let (net, clients) = (net.clone(), clients.clone());
     tokio::task::spawn_local(async move {
-        let stream = Rc::new(stream);
+        let stream = Rc::new(RefCell::new(stream));
         converse(&net, &clients, &client, stream.clone()).await;
-        _ = tokio::time::timeout(LINGER, part(&net, &client, &stream)).await;
-        drop(stream);
+        if let Some(stream) = Rc::into_inner(stream).map(RefCell::into_inner) {
+            _ = tokio::time::timeout(LINGER, part(&net, &client, &stream)).await;
+        }
         clients.open.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
         clients.changed.notify_one();
     });
 }
 
 /// One connection from its first req to its last.
-async fn converse(net: &Rc<Net>, clients: &Clients, client: &Rc<Client>, stream: Rc<TcpStream>) {
+async fn converse(net: &Rc<Net>, clients: &Clients, client: &Rc<Client>, stream: Rc<RefCell<TcpStream>>) {
     let service = service_fn(|request| async {
         let mut response = respond(net, client, request).await;
         if client.intake.last.get() || *net.handed.borrow() {
