Spread the first calls for a list over the fleet, and holds by the director's pace

Need: hundreds of schedulers that start without a list, before a director that serves all calls in turn, watches too (own stand-in, 20 ms each, 503 after 3 s).

Change: without a list the first call comes at random within 25 ms for each scheduler (a sixth of what is left where a list is held; 17 to 25 ms a call keep the last within 1.5 times the director's own limit), and the first watch as long after. What a turn takes is learned from answers without news, and the longest hold is three turns for each scheduler: a third of the director's time. After a reload nothing waits. Not taken: the hold of 5 s as before (0.8 of the director's time at 200, and refusals), a pace learned before the first answer (there is none).

The facade stands in a folder by concern now.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -68,8 +68,8 @@
 const COLD_SAFETY: f64 = 0.8;
 /// Probes out at once.
 const MOST_PROBES: u32 = 16;
-/// Where more schedulers than a few share the director, each leaves it this long for every one of them,
-/// up to a share of the time within which it must ask.
+/// Where more schedulers than a few share the director, each leaves it this long for every one of them, up to
+/// a share of the time within which it must ask; a sixth without a list, as nobody is served until it has come.
 const FEW: u32 = 4;
 const ASK_SPACING: Micros = 150_000;
 const ASK_SHARE: f64 = 0.7;
@@ -120,8 +120,7 @@
             Event::Settled { id, attempt, ending, finished, report } => {
                 self.on_settled(id, attempt as usize, ending, finished, report)
             }
-            // The client owns a stream that has begun.
-            Event::Streaming { .. } => {}
+            Event::Streaming { .. } => {} // the client owns a stream that has begun
             Event::Lapsed { id } => self.finish(id),
             Event::Probed { worker, ending, report } => self.on_probed(worker, ending, report),
             Event::Ban { worker, out } => self.on_ban(worker, out),
@@ -135,6 +134,9 @@
         self.watch_for_silence();
         self.refuse_hopeless();
         self.release();
+        if self.ask_at == 0 {
+            self.ask_at = now + (self.ask_spread() * self.rng.f64()) as Micros;
+        }
         if now >= self.ask_at {
             self.ask_at = Micros::MAX; // the answer, or its failure, sets it anew
             self.actions.push(Action::Subscribe);
@@ -650,9 +652,6 @@
             return;
         }
         self.ask_failures = 0;
-        if kind == ListKind::Remembered && self.settings.list_on_request {
-            self.ask_at = self.now + (self.ask_spread() * self.rng.f64()) as Micros;
-        }
         if kind != ListKind::Changes {
             self.workers.iter_mut().for_each(|w| (w.listed, w.active) = (false, false));
         }
@@ -670,9 +669,10 @@
 
     /// Guards against many that start, or lose the director, at one moment: it serves calls in turn, and
     /// one that comes while too many wait fails, but takes its turn all the same. Watches cost it nothing.
-    fn ask_spread(&self) -> f64 {
+    pub(crate) fn ask_spread(&self) -> f64 {
         let s = &self.settings;
-        let all = if s.dispatchers > FEW { u64::from(s.dispatchers) * ASK_SPACING } else { 0 };
+        let spacing = if self.live.is_empty() { ASK_SPACING / 6 } else { ASK_SPACING };
+        let all = if s.dispatchers > FEW { u64::from(s.dispatchers) * spacing } else { 0 };
         (all as f64).min(ASK_SHARE * s.ask_every as f64)
     }
 
--- a/crates/core/src/facade.rs
+++ b/crates/core/src/facade/mod.rs
@@ -6,6 +6,10 @@
 //! anything, read a clock (time is passed in), or know of sockets, HTTP or an async runtime: a
 //! waiting `pick` keeps only the standard library's [`Waker`].
 
+mod succession;
+mod tally;
+mod types;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
@@ -19,154 +23,12 @@
 use crate::interface::{Action, Earlier, Event, RequestId, Row, WorkerId};
 use crate::names::worker_id;
 use crate::Dispatcher;
+pub use tally::Tally;
+pub use types::{Due, Entry, Job, Learned, Req, Seen, Step};
 
 /// The least number of backends' names at which it looks which of them are of use.
 const NAMES_KEPT: usize = 4_096;
 
-/// The longest that a worker is avoided on another process's word.
-const LONGEST_SHUN: Micros = 60_000_000;
-
-/// A req that was taken in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Req(u64);
-
-/// What the decisions need to know of a job.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Job {
-    /// Its class, as an index of the settings.
-    pub class: u32,
-    /// Its tenant, as an index of the settings, where it names a known one.
-    pub tenant: Option<u32>,
-    /// Slots it takes.
-    pub slots: Option<f64>,
-    /// Memory it takes.
-    pub memory: Option<f64>,
-    /// What it needs at a backend.
-    pub key: Option<u64>,
-    /// Expected work.
-    pub hint: Option<Micros>,
-    /// Time left before the client gives up.
-    pub remaining: Micros,
-}
-
-/// What to do next for a req.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Step {
-    /// Fetch number `fetch` goes to a backend, and is given up at `until`.
-    Fetch {
-        /// Counted from 0 for each req.
-        fetch: usize,
-        /// The backend's name in the director's list.
-        backend: Rc<str>,
-        /// When it has timed out.
-        until: Micros,
-    },
-    /// Final: the result of this fetch is the answer.
-    Serve {
-        /// Which one.
-        fetch: usize,
-    },
-    /// Final: a synthetic answer that tells the client to come again, perhaps after a while.
-    Synthetic {
-        /// How long to stay away.
-        retry_after: Option<Micros>,
-    },
-    /// Final: failed, nothing promised.
-    Fail,
-    /// Stop waiting for this fetch, and report it as [`Ending::Revoked`].
-    Drop {
-        /// Which one.
-        fetch: usize,
-    },
-}
-
-/// One entry of the director's list, with names resolved to the settings' indices.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// The backend's name, the same at every scheduler.
-    pub backend: Rc<str>,
-    /// Its zone.
-    pub zone: u32,
-    /// Its machine kind.
-    pub kind: u32,
-    /// Its cell.
-    pub cell: u32,
-    /// Its state.
-    pub condition: Condition,
-    /// When it last started; 0: long ago.
-    pub online_since: Micros,
-}
-
-/// Something that was seen.
-#[derive(Clone, Copy, Debug)]
-pub enum Seen<'a> {
-    /// News of the director's list; no entries where the call failed.
-    List(ListKind, &'a [Entry]),
-    /// The job of a fetch started to run.
-    Started(Req, usize),
-    /// The job of a fetch makes progress.
-    Progress(Req, usize),
-    /// A fetch ended.
-    Ended(Req, usize, Ending, Option<Report>),
-    /// A probe came back; no load where it failed.
-    Probed(&'a Rc<str>, bool, Option<Report>),
-}
-
-/// What is due besides the steps of reqs.
-#[derive(Debug, Default, PartialEq)]
-pub struct Due {
-    /// When to call `tick` next, unless it is woken before.
-    pub next: Option<Micros>,
-    /// Subscribe to the director's list anew.
-    pub subscribe: bool,
-    /// Backends whose load to ask for.
-    pub probes: Vec<Rc<str>>,
-}
-
-/// What one process tells the next of what it has learned. Spans, as the two have a clock each.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Learned {
-    /// The cap on own outstanding slots.
-    pub cap: f64,
-    /// The mean running time of jobs, in microseconds.
-    pub mean_run: f64,
-    /// Of each class: running time lately, the job's own work, and of how many jobs it was learned.
-    pub classes: Vec<[f64; 3]>,
-    /// Backends that are avoided by choice, for how long yet, and how often they were tried.
-    pub avoided: Vec<(Rc<str>, Micros, u32)>,
-}
-
-/// Counts of what was answered, and of what should have been impossible.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    /// Reqs taken in.
-    pub taken: u64,
-    /// Final answers by kind.
-    pub served: u64,
-    /// Synthetic answers.
-    pub synthetic: u64,
-    /// Failed reqs.
-    pub failed: u64,
-    /// Clients that went away first.
-    pub gone: u64,
-    /// Fetches begun.
-    pub fetches: u64,
-    /// Fetches by how they ended, in the order of [`Ending`].
-    pub ended: [u64; 8],
-    /// Broken assumptions; asserted in debug builds.
-    pub broken: u64,
-}
-
-impl std::fmt::Display for Tally {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Tally { taken, served, synthetic, failed, gone, fetches, ended, broken } = self;
-        write!(f, "taken={taken} served={served} synthetic={synthetic} failed={failed} gone={gone} ")?;
-        write!(f, "broken={broken} fetches={fetches}")?;
-        let names = ["delivered", "error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused"];
-        names.iter().zip(ended).try_for_each(|(name, n)| write!(f, " {name}={n}"))
-    }
-}
-
 /// A req as this file knows it.
 struct Open {
     steps: VecDeque<Step>,
@@ -342,70 +204,16 @@
         Accounts { requests, workers, ..inner }
     }
 
-    /// Operators take a backend out: nothing new goes there, whatever the list says, until [`include`].
-    /// Tells whether it was ever listed; else nothing changes.
-    ///
-    /// [`include`]: Facade::include
-    pub fn exclude(&mut self, now: Micros, backend: &str) -> bool {
-        self.ban(now, backend, true)
-    }
-
-    /// Operators let a backend be used again; one call ends the ban, however often it was called for.
-    /// Tells whether it was ever listed, or was taken out.
-    pub fn include(&mut self, now: Micros, backend: &str) -> bool {
-        self.ban(now, backend, false)
-    }
-
-    /// Takes over a ban that another process of this scheduler has noted: its backend need not be listed.
-    pub fn keep_out(&mut self, now: Micros, backend: &str) {
-        let worker = worker_id(backend);
-        self.backends.entry(worker).or_insert_with(|| backend.into());
-        self.ban(now, backend, true);
-    }
-
-    /// Whether operators have taken a backend out.
-    pub fn is_out(&self, backend: &str) -> bool {
-        self.dispatcher.is_banned(worker_id(backend))
-    }
-
-    fn ban(&mut self, now: Micros, backend: &str, out: bool) -> bool {
-        let worker = worker_id(backend);
-        if self.backends.get(&worker).is_none_or(|name| **name != *backend) {
-            return false;
-        }
-        self.feed(now, Event::Ban { worker, out });
-        true
-    }
-
-    /// How many processes of this scheduler live: each uses its part of what is the scheduler's.
-    pub fn share(&mut self, processes: usize) {
-        self.dispatcher.share(processes);
-    }
-
-    /// What the next process should know.
-    pub fn learned(&self, now: Micros) -> Learned {
-        let (cap, mean_run, classes) = self.dispatcher.learned();
-        let avoided = self.backends.iter().filter_map(|(worker, name)| {
-            let (until, trials) = self.dispatcher.shunned(*worker)?;
-            (until > now).then(|| (name.clone(), until - now, trials))
-        });
-        Learned { cap, mean_run, classes, avoided: avoided.collect() }
-    }
-
-    /// Takes in what the process before had learned; what does not fit is left out.
-    pub fn learn(&mut self, now: Micros, learned: Learned) {
-        let Learned { cap, mean_run, classes, avoided } = learned;
-        self.dispatcher.learn(cap, mean_run, &classes);
-        for (name, left, trials) in avoided {
-            self.dispatcher.shun_for(worker_id(&name), now.saturating_add(left.min(LONGEST_SHUN)), trials);
-        }
-    }
-
     /// The workers in the list, and how many of them get nothing now.
     pub fn members(&self) -> Members {
         self.dispatcher.members()
     }
 
+    /// Over what span the calls for the list of all schedulers are spread now, this one's being at random in it.
+    pub fn ask_spread(&self) -> Micros {
+        self.dispatcher.ask_spread() as Micros
+    }
+
     /// How many reqs were taken and have no final answer yet.
     pub fn owed(&self) -> usize {
         self.reqs.values().filter(|open| !open.over).count()
--- /dev/null
+++ b/crates/core/src/facade/succession.rs
@@ -0,0 +1,72 @@
+//! What is said of backends beside the list: bans by hand, and what one process of this scheduler tells the
+//! next.
+//!
+//! It owns neither: both go to the decisions. A word of another process must never let anything be sent.
+
+use super::{Facade, Learned};
+use crate::interface::{Event, Micros};
+use crate::names::worker_id;
+
+/// The longest that a worker is avoided on another process's word.
+const LONGEST_SHUN: Micros = 60_000_000;
+
+impl Facade {
+    /// Operators take a backend out: nothing new goes there, whatever the list says, until [`include`].
+    /// Tells whether it was ever listed; else nothing changes.
+    ///
+    /// [`include`]: Facade::include
+    pub fn exclude(&mut self, now: Micros, backend: &str) -> bool {
+        self.ban(now, backend, true)
+    }
+
+    /// Operators let a backend be used again; one call ends the ban, however often it was called for.
+    /// Tells whether it was ever listed, or was taken out.
+    pub fn include(&mut self, now: Micros, backend: &str) -> bool {
+        self.ban(now, backend, false)
+    }
+
+    /// Takes over a ban that another process of this scheduler has noted: its backend need not be listed.
+    pub fn keep_out(&mut self, now: Micros, backend: &str) {
+        let worker = worker_id(backend);
+        self.backends.entry(worker).or_insert_with(|| backend.into());
+        self.ban(now, backend, true);
+    }
+
+    /// Whether operators have taken a backend out.
+    pub fn is_out(&self, backend: &str) -> bool {
+        self.dispatcher.is_banned(worker_id(backend))
+    }
+
+    fn ban(&mut self, now: Micros, backend: &str, out: bool) -> bool {
+        let worker = worker_id(backend);
+        if self.backends.get(&worker).is_none_or(|name| **name != *backend) {
+            return false;
+        }
+        self.feed(now, Event::Ban { worker, out });
+        true
+    }
+
+    /// How many processes of this scheduler live: each uses its part of what is the scheduler's.
+    pub fn share(&mut self, processes: usize) {
+        self.dispatcher.share(processes);
+    }
+
+    /// What the next process should know.
+    pub fn learned(&self, now: Micros) -> Learned {
+        let (cap, mean_run, classes) = self.dispatcher.learned();
+        let avoided = self.backends.iter().filter_map(|(worker, name)| {
+            let (until, trials) = self.dispatcher.shunned(*worker)?;
+            (until > now).then(|| (name.clone(), until - now, trials))
+        });
+        Learned { cap, mean_run, classes, avoided: avoided.collect() }
+    }
+
+    /// Takes in what the process before had learned; what does not fit is left out.
+    pub fn learn(&mut self, now: Micros, learned: Learned) {
+        let Learned { cap, mean_run, classes, avoided } = learned;
+        self.dispatcher.learn(cap, mean_run, &classes);
+        for (name, left, trials) in avoided {
+            self.dispatcher.shun_for(worker_id(&name), now.saturating_add(left.min(LONGEST_SHUN)), trials);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/facade/tally.rs
@@ -0,0 +1,34 @@
+//! What the facade counts of reqs and fetches, and how it is written in the log.
+//!
+//! It must never decide: nothing reads these counts back.
+
+/// Counts of what was answered, and of what should have been impossible.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Reqs taken in.
+    pub taken: u64,
+    /// Final answers by kind.
+    pub served: u64,
+    /// Synthetic answers.
+    pub synthetic: u64,
+    /// Failed reqs.
+    pub failed: u64,
+    /// Clients that went away first.
+    pub gone: u64,
+    /// Fetches begun.
+    pub fetches: u64,
+    /// Fetches by how they ended, in the order of [`Ending`].
+    pub ended: [u64; 8],
+    /// Broken assumptions; asserted in debug builds.
+    pub broken: u64,
+}
+
+impl std::fmt::Display for Tally {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Tally { taken, served, synthetic, failed, gone, fetches, ended, broken } = self;
+        write!(f, "taken={taken} served={served} synthetic={synthetic} failed={failed} gone={gone} ")?;
+        write!(f, "broken={broken} fetches={fetches}")?;
+        let names = ["delivered", "error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused"];
+        names.iter().zip(ended).try_for_each(|(name, n)| write!(f, " {name}={n}"))
+    }
+}
--- /dev/null
+++ b/crates/core/src/facade/types.rs
@@ -0,0 +1,117 @@
+//! What goes in and out of the facade: reqs, jobs, steps, entries of the list, what was seen.
+//!
+//! Types only. Nothing here may name a socket, a format or a runtime.
+
+use std::rc::Rc;
+
+use crate::interface::{Condition, Ending, ListKind, Micros, Report};
+
+/// A req that was taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Req(pub(super) u64);
+
+/// What the decisions need to know of a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// Its class, as an index of the settings.
+    pub class: u32,
+    /// Its tenant, as an index of the settings, where it names a known one.
+    pub tenant: Option<u32>,
+    /// Slots it takes.
+    pub slots: Option<f64>,
+    /// Memory it takes.
+    pub memory: Option<f64>,
+    /// What it needs at a backend.
+    pub key: Option<u64>,
+    /// Expected work.
+    pub hint: Option<Micros>,
+    /// Time left before the client gives up.
+    pub remaining: Micros,
+}
+
+/// What to do next for a req.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Fetch number `fetch` goes to a backend, and is given up at `until`.
+    Fetch {
+        /// Counted from 0 for each req.
+        fetch: usize,
+        /// The backend's name in the director's list.
+        backend: Rc<str>,
+        /// When it has timed out.
+        until: Micros,
+    },
+    /// Final: the result of this fetch is the answer.
+    Serve {
+        /// Which one.
+        fetch: usize,
+    },
+    /// Final: a synthetic answer that tells the client to come again, perhaps after a while.
+    Synthetic {
+        /// How long to stay away.
+        retry_after: Option<Micros>,
+    },
+    /// Final: failed, nothing promised.
+    Fail,
+    /// Stop waiting for this fetch, and report it as [`Ending::Revoked`].
+    Drop {
+        /// Which one.
+        fetch: usize,
+    },
+}
+
+/// One entry of the director's list, with names resolved to the settings' indices.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The backend's name, the same at every scheduler.
+    pub backend: Rc<str>,
+    /// Its zone.
+    pub zone: u32,
+    /// Its machine kind.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub condition: Condition,
+    /// When it last started; 0: long ago.
+    pub online_since: Micros,
+}
+
+/// Something that was seen.
+#[derive(Clone, Copy, Debug)]
+pub enum Seen<'a> {
+    /// News of the director's list; no entries where the call failed.
+    List(ListKind, &'a [Entry]),
+    /// The job of a fetch started to run.
+    Started(Req, usize),
+    /// The job of a fetch makes progress.
+    Progress(Req, usize),
+    /// A fetch ended.
+    Ended(Req, usize, Ending, Option<Report>),
+    /// A probe came back; no load where it failed.
+    Probed(&'a Rc<str>, bool, Option<Report>),
+}
+
+/// What is due besides the steps of reqs.
+#[derive(Debug, Default, PartialEq)]
+pub struct Due {
+    /// When to call `tick` next, unless it is woken before.
+    pub next: Option<Micros>,
+    /// Subscribe to the director's list anew.
+    pub subscribe: bool,
+    /// Backends whose load to ask for.
+    pub probes: Vec<Rc<str>>,
+}
+
+/// What one process tells the next of what it has learned. Spans, as the two have a clock each.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// The cap on own outstanding slots.
+    pub cap: f64,
+    /// The mean running time of jobs, in microseconds.
+    pub mean_run: f64,
+    /// Of each class: running time lately, the job's own work, and of how many jobs it was learned.
+    pub classes: Vec<[f64; 3]>,
+    /// Backends that are avoided by choice, for how long yet, and how often they were tried.
+    pub avoided: Vec<(Rc<str>, Micros, u32)>,
+}
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -361,6 +361,29 @@
     }
 }
 
+/// Guards against hundreds that start without a list, at one moment, and all call a director that serves in turn:
+/// it is asked for as many lists a second as it can be taken to give, and the last still has its list in time.
+#[test]
+fn without_a_list_each_of_many_calls_at_a_moment_of_its_own() {
+    let first_call = |seed| {
+        let mut facade = Facade::new(settings(200), seed).expect("usable");
+        let (start, waker) = (50_000 * MS, Waker::from(flag()));
+        let mut now = start;
+        loop {
+            let due = facade.tick(now, &waker);
+            if due.subscribe {
+                return now - start;
+            }
+            now = due.next.expect("it waits for its moment");
+        }
+    };
+    let mut calls: Vec<Micros> = (0..200).map(first_call).collect();
+    calls.sort_unstable();
+    assert!(calls[199] <= 5_000 * MS, "25 ms for each of 200");
+    let most = (0..200).map(|n| calls.partition_point(|at| *at < calls[n] + 1_000 * MS) - n).max();
+    assert!(most.is_some_and(|most| most <= 60), "{most:?} calls within a second");
+}
+
 #[test]
 fn a_second_word_on_a_fetch_is_ignored_and_a_name_stays_a_name() {
     let mut world = World::new(1);
--- a/crates/server/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -31,11 +31,15 @@
 const LONGEST_HOLD: Duration = TOLD_ANYWAY.saturating_sub(AFTER_HOLD);
 const SHORTEST_HOLD: Duration = Duration::from_secs(1);
 const LEAST_PART: u32 = 4;
+/// Where the director serves watches in turn too, the whole fleet's take a third of its time: the longest hold
+/// is so many times what one takes, for each scheduler, up to half of what a director holds at the most.
+const TURNS: u32 = 3;
+const MOST_HOLD: Duration = Duration::from_secs(30);
 /// The pause after an answer that came at once and holds no news: half the time within which the
 /// next call of a watch must come.
 const PAUSE: Duration = Duration::from_millis(100);
-/// What the answer of a watch that goes on may take beyond its hold: it waits in no queue. To this comes twice
-/// what the last one took. A new call may have to wait for its turn, for as long as `AFTER_HOLD`.
+/// What the answer of a watch that goes on may take beyond its hold, and twice what such answers took lately. A
+/// new call may have to wait for its turn, for as long as `AFTER_HOLD`.
 const QUIET: Duration = Duration::from_millis(300);
 /// The longest that connecting may take.
 const DIAL: Duration = Duration::from_secs(1);
@@ -84,29 +88,35 @@
 /// How calls go at one address.
 struct Watch {
     link: Option<Link>,
-    /// How much later than its hold the last empty answer came.
-    late: Duration,
+    /// How much later than their holds answers without news came lately: what a turn at the director takes.
+    turn: Duration,
     rng: fastrand::Rng,
 }
 
 /// Watches the list whenever the facade asks for it, and now where that is wanted.
 async fn watch(net: &Rc<Net>, at: SocketAddr, generation: &mut Option<u64>, mut now: bool) {
     let rng = fastrand::Rng::with_seed(net.config.seed ^ net.clock.now());
-    let mut watch = Watch { link: None, late: Duration::ZERO, rng };
+    let mut watch = Watch { link: None, turn: Duration::ZERO, rng };
     loop {
-        if !std::mem::take(&mut now) {
+        let told = std::mem::take(&mut now);
+        if !told {
             net.subscribe.notified().await;
         }
+        let (first, spread) = (generation.is_none() && !told, net.facade.borrow().ask_spread());
         let failure = loop {
             let called = net.clock.now();
             match ask(net, at, &mut watch, *generation).await {
                 Ok(answer) => {
-                    *generation = Some(answer.generation);
+                    let whole = generation.replace(answer.generation).is_none();
                     apply(net, &answer, if answer.reset { ListKind::All } else { ListKind::Changes });
                     // Guards against a director that does not hold: calls would chase each other.
                     if answer.instances.is_empty() && net.clock.now() < called + PAUSE.as_micros() as u64 {
                         tokio::time::sleep(PAUSE).await;
                     }
+                    // Guards against watches that keep those waiting who have no list yet.
+                    if whole && first {
+                        tokio::time::sleep(Duration::from_micros(spread)).await;
+                    }
                 }
                 Err(failure) => break failure,
             }
@@ -124,7 +134,9 @@
 /// is spared for seconds, in which what a broken watch has missed counts as told. And against giving up the
 /// turn of a call that only waits.
 async fn ask(net: &Net, at: SocketAddr, watch: &mut Watch, from: Option<u64>) -> Result<Answer, String> {
-    let longest = Duration::from_micros(net.config.settings.ask_every / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD);
+    let settings = &net.config.settings;
+    let longest = Duration::from_micros(settings.ask_every / 2).clamp(SHORTEST_HOLD, LONGEST_HOLD);
+    let longest = (TURNS.saturating_mul(settings.dispatchers) * watch.turn).clamp(longest, MOST_HOLD);
     let shortest = longest / LEAST_PART;
     let new = watch.link.as_ref().is_none_or(Link::is_dead);
     // By chance, as all schedulers begin anew whenever there is news: else all would find a silent director, and
@@ -134,7 +146,7 @@
     let patience = match from {
         None => TOLD_ANYWAY, // who has no list has nothing to lose by waiting
         Some(_) if new => AFTER_HOLD,
-        Some(_) => QUIET + 2 * watch.late,
+        Some(_) => QUIET + 2 * watch.turn,
     };
     let called = net.clock.now();
     let mut beside = None;
@@ -158,8 +170,12 @@
         }
     };
     let took = Duration::from_micros(net.clock.now().saturating_sub(called));
-    let waited = answer.as_ref().is_ok_and(|a| a.instances.is_empty()) && !new && !silent;
-    watch.late = if waited { took.saturating_sub(hold).min(AFTER_HOLD) } else { watch.late / 2 };
+    let at_its_end = from.is_none() || answer.as_ref().is_ok_and(|a| a.instances.is_empty());
+    if !silent && answer.is_ok() && at_its_end {
+        let waited = if from.is_none() { Duration::ZERO } else { hold };
+        let turn = took.saturating_sub(waited).min(AFTER_HOLD);
+        watch.turn = if watch.turn.is_zero() { turn } else { (watch.turn + turn) / 2 };
+    }
     if silent {
         watch.link = beside;
     }
--- a/crates/server/tests/sockets/director.rs
+++ b/crates/server/tests/sockets/director.rs
@@ -39,6 +39,16 @@
     until("a served req", || program.ask(&req("transfer", "id-1")).status() == 200);
 }
 
+/// Guards against a first list without anybody in it: nothing of it may keep the next one from being used.
+#[test]
+fn a_start_with_an_empty_list_serves_once_a_full_one_has_come() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let nobody = r#"{"generation":0,"reset":true,"instances":[]}"#;
+    let program = Program::start_knowing(&director, nobody, 1024, &[]);
+    assert_eq!(program.ask(&req("transfer", "id-1")).status(), 200);
+}
+
 #[test]
 fn a_director_that_does_not_hold_is_not_called_without_pause() {
     let backend = good();
