Split the backends' side by concern; a fetch tells its end through a trait

backends.rs (747 lines) named both front.rs and durable.rs, which both start fetches: a fetch for a req or a job told its progress through an enum that knew both. Ways not taken: a boxed callback, which costs an allocation a fetch; a channel, which moves the end of a fetch behind another turn of the runtime.

Now `start` takes whoever is told as a type (`Told`, static dispatch), implemented in front.rs for a req's fetch and in durable.rs for a job's attempt. What goes to a backend with the room for bodies and ids is net/order.rs, this program's own answers and the shared field names are net/answers.rs: both are leaves. backends/ is the table (mod), link, fetch, stream, probe and tests.

--- /dev/null
+++ b/crates/server/src/net/backends/fetch.rs
@@ -0,0 +1,249 @@
+//! A fetch: one attempt at a backend, from its connection to its end.
+//!
+//! It owns the proof of whether a request was written in full. It must never send a request a second time on
+//! its own, send to a backend that is not listed as ready, or call a fetch unsent where that is in doubt.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::{Request, StatusCode};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::super::order::Order;
+use super::super::Net;
+use super::link::{Link, Socket};
+use super::stream::{load_in, result_bytes, Line, LONGEST_LINE};
+use super::{dial_limit, keep, LEAST_KEPT};
+use oakshed_core::facade::{Ending, Micros, Report};
+
+/// How long the rest of an answer may take until its connection is given up.
+const REST: Duration = Duration::from_millis(500);
+
+static SRV_DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+
+/// How many bytes hyper makes of a request.
+pub(super) fn size_of(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+    let target = request.uri().path_and_query().map_or(1, |t| t.as_str().len());
+    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
+    let fields: usize =
+        request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
+    (line + fields + "\r\n".len() + body) as u64
+}
+
+/// A fetch on its way, as its req's handler sees it.
+pub(crate) struct Fetch {
+    task: AbortHandle,
+    result: Option<oneshot::Receiver<Bytes>>,
+}
+
+impl Fetch {
+    /// The result, once the facade has said to serve it.
+    pub(crate) async fn result(&mut self) -> Option<Bytes> {
+        self.result.take()?.await.ok()
+    }
+
+    /// Gives the fetch up: its connection is closed.
+    pub(crate) fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+/// What a request is known to have written, wherever its fetch ends.
+#[derive(Default)]
+pub(super) struct Sent(pub(super) RefCell<Option<(Rc<Socket>, u64)>>);
+
+impl Sent {
+    /// Whether the last byte may have been written.
+    pub(super) fn in_full(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|(socket, end)| socket.written.get() >= *end)
+    }
+}
+
+/// Who is told of a fetch's start, progress and end: whoever it is for.
+pub(crate) trait Told {
+    /// Its job has started, or goes on.
+    fn alive(self, net: &Net, started: bool);
+
+    /// It has ended: how, with what result, and with what its backend said of its load.
+    fn ended(self, net: &Rc<Net>, ending: Ending, result: Option<Bytes>, load: Option<Report>);
+}
+
+/// Begins a fetch. It reports its own end, whether or not its handler still waits.
+pub(crate) fn start<W: Told + Copy + 'static>(
+    net: &Rc<Net>,
+    order: &Rc<Order>,
+    whose: W,
+    to: Rc<str>,
+    until: Micros,
+) -> Fetch {
+    let (tx, rx) = oneshot::channel();
+    let (net, order) = (net.clone(), order.clone());
+    let task = tokio::task::spawn_local(async move {
+        let sent = Sent::default();
+        let run = run(&net, &order, whose, &to, &sent);
+        let until = net.clock.instant(until.min(order.deadline));
+        let ended = tokio::time::timeout_at(until, run).await;
+        let Ended { ending, result, load, rest } = ended.unwrap_or_else(|_| Ending::Expired.into());
+        // Dropped and Expired are for what may have run; what was not written in full never did.
+        let ending = match ending {
+            Ending::Dropped | Ending::Expired if !sent.in_full() => Ending::DialFailed,
+            ending => ending,
+        };
+        // A req's handler takes the result from here, once it is told to serve it.
+        if let Some(result) = result.clone() {
+            _ = tx.send(result);
+        }
+        whose.ended(&net, ending, result, load);
+        drop(order); // what is left is the connection's affair
+        if let Some((link, body)) = rest {
+            _ = timeout(REST, finish(&net, &to, link, body)).await;
+        }
+    });
+    Fetch { task: task.abort_handle(), result: Some(rx) }
+}
+
+/// How a fetch ended, its result, and what is left of its connection where that is still good.
+struct Ended {
+    ending: Ending,
+    result: Option<Bytes>,
+    load: Option<Report>,
+    rest: Option<(Link, Incoming)>,
+}
+
+impl From<Ending> for Ended {
+    fn from(ending: Ending) -> Self {
+        Ended { ending, result: None, load: None, rest: None }
+    }
+}
+
+async fn run<W: Told + Copy>(net: &Net, order: &Order, whose: W, to: &Rc<str>, sent: &Sent) -> Ended {
+    let mut link = match connect(net, to).await {
+        Ok(link) => link,
+        Err(ending) => return ending.into(),
+    };
+    // The dial may have outlasted the time in which sends to a draining backend must end, and the
+    // backend may have moved, or been taken out, meanwhile.
+    if open_address(net, to) != Some(link.address) {
+        net.count(|c| &mut c.drained_before_send);
+        return Ending::Unused.into();
+    }
+    let Ok(request) = order.request(net.clock.now()) else { return Ending::Unused.into() };
+    let end = link.socket.written.get() + size_of(&request, order.body.len());
+    *sent.0.borrow_mut() = Some((link.socket.clone(), end));
+    *link.socket.attempt.borrow_mut() = Some((end, net.backends.attempts.clone()));
+    let Ok(response) = link.sender.send_request(request).await else {
+        net.count(|c| &mut c.resets);
+        if let Some(idle) = link.idle {
+            net.count(|c| &mut c.idle_resets);
+            let safe = keep(net).min(idle) / 2;
+            net.backends.safe.set(Some((safe.max(LEAST_KEPT), net.clock.now())));
+        }
+        return Ending::Dropped.into();
+    };
+    net.must(link.socket.written.get() == end, "a request is as long as reckoned");
+    let (head, mut body) = response.into_parts();
+    if head.status != StatusCode::OK {
+        let declined = head.headers.get(&SRV_DECLINED).is_some_and(|v| v == "1");
+        let busy = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+        let ending = if declined && busy { Ending::Shed } else { Ending::Error };
+        return Ended { ending, result: None, load: load_in(&head.headers), rest: Some((link, body)) };
+    }
+    let mut buffer = BytesMut::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else { continue };
+        buffer.extend_from_slice(&data);
+        while let Some(at) = buffer.iter().position(|b| *b == b'\n') {
+            let line = buffer.split_to(at + 1);
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let Ok(line) = serde_json::from_slice::<Line>(&line) else {
+                net.count(|c| &mut c.malformed_lines);
+                return Ending::Dropped.into();
+            };
+            // Only what a backend made for this very req may be served.
+            if line.id.as_bytes() != order.id.as_bytes() {
+                net.count(|c| &mut c.wrong_id_lines);
+                return Ending::Dropped.into();
+            }
+            let ending = match &*line.state {
+                "started" => {
+                    whose.alive(net, true);
+                    continue;
+                }
+                "running" => {
+                    whose.alive(net, false);
+                    continue;
+                }
+                "done" => {
+                    let Some(result) = line.result.and_then(result_bytes) else {
+                        net.count(|c| &mut c.malformed_lines);
+                        return Ending::Dropped.into();
+                    };
+                    let (result, load) = (Some(result), line.load.map(Report::from));
+                    return Ended { ending: Ending::Delivered, result, load, rest: Some((link, body)) };
+                }
+                "failed" => Ending::Error,
+                "returned" => Ending::Shed,
+                "lost" => {
+                    net.count(|c| &mut c.lost_jobs);
+                    Ending::Dropped
+                }
+                _ => continue, // a word of a later day
+            };
+            let load = line.load.map(Report::from);
+            return Ended { ending, result: None, load, rest: Some((link, body)) };
+        }
+        if buffer.len() > LONGEST_LINE {
+            net.count(|c| &mut c.malformed_lines);
+            return Ending::Dropped.into();
+        }
+    }
+    net.count(|c| &mut c.early_ends);
+    Ending::Dropped.into()
+}
+
+/// Where something new may go: a backend that is listed as ready, and that operators have not taken out.
+fn open_address(net: &Net, to: &str) -> Option<SocketAddr> {
+    net.backends.address(to).filter(|_| !net.facade.borrow().is_out(to))
+}
+
+/// An idle connection, or a new one. Its failure says what the fetch ends with.
+pub(super) async fn connect(net: &Net, to: &str) -> Result<Link, Ending> {
+    let address = open_address(net, to).ok_or(Ending::Unused)?;
+    if let Some(link) = net.backends.take_idle(net, to) {
+        net.count(|c| &mut c.reused);
+        return Ok(link);
+    }
+    let Some(slot) = net.backends.slot(net) else {
+        net.count(|c| &mut c.no_socket);
+        return Err(Ending::Unused);
+    };
+    net.count(|c| &mut c.dials);
+    match timeout(dial_limit(net), Link::open(address, Some(slot))).await {
+        Ok(Ok(link)) => Ok(link),
+        _ => Err(Ending::DialFailed),
+    }
+}
+
+/// Reads an answer to its end, so that its connection can be used again.
+async fn finish(net: &Net, to: &str, mut link: Link, mut body: Incoming) {
+    let mut left = LONGEST_LINE;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return };
+        let read = frame.data_ref().map_or(0, Buf::remaining);
+        let Some(rest) = left.checked_sub(read) else { return };
+        left = rest;
+    }
+    if link.sender.ready().await.is_ok() {
+        net.backends.put_back(net, to, link);
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/backends/link.rs
@@ -0,0 +1,123 @@
+//! A connection to a backend, or to the director.
+//!
+//! It owns the socket, the count of the bytes that the system has taken, and the slot in the budget. It must
+//! never count as written what the system has not taken, or keep a socket open once it is dropped.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use super::super::end_sending;
+use super::stream::LONGEST_LINE;
+use oakshed_core::facade::Micros;
+
+/// Counts an open socket for as long as it lives.
+pub(super) struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    pub(super) fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Slot(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A socket, with a count of the bytes that the system has taken from us. Counting here, below
+/// hyper, is the proof of whether all of a request can have arrived.
+pub(super) struct Socket {
+    pub(super) stream: RefCell<TcpStream>,
+    pub(super) written: Cell<u64>,
+    /// Where the present attempt ends, and who counts it once it is written whole.
+    pub(super) attempt: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
+    _slot: Option<Slot>,
+}
+
+/// What hyper reads from and writes to.
+struct Io(Rc<Socket>);
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let n = ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf))?;
+        self.0.written.set(self.0.written.get() + n as u64);
+        if let Some((_, whole)) = self.0.attempt.borrow_mut().take_if(|(end, _)| self.0.written.get() >= *end)
+        {
+            whole.set(whole.get() + 1);
+        }
+        Poll::Ready(Ok(n))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(end_sending(&self.0.stream.borrow()))
+    }
+}
+
+/// A connection that carries one request at a time. Dropping it closes it.
+pub(crate) struct Link {
+    pub(super) address: SocketAddr,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(super) socket: Rc<Socket>,
+    task: JoinHandle<()>,
+    /// How long it had been idle when it was last taken; `None` for a new one.
+    pub(super) idle: Option<Micros>,
+}
+
+impl Link {
+    /// Opens a connection; `slot` counts it where that is wanted.
+    pub(super) async fn open(address: SocketAddr, slot: Option<Slot>) -> io::Result<Link> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (stream, written, attempt) = (RefCell::new(stream), Cell::new(0), RefCell::default());
+        let socket = Rc::new(Socket { stream, written, attempt, _slot: slot });
+        let io = TokioIo::new(Io(socket.clone()));
+        let form = Builder::new().max_buf_size(LONGEST_LINE).handshake(io);
+        let (sender, connection) = form.await.map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move { _ = connection.await });
+        Ok(Link { address, sender, socket, task, idle: None })
+    }
+
+    /// Opens a connection that no budget counts.
+    pub(crate) async fn dial(address: SocketAddr) -> io::Result<Link> {
+        Link::open(address, None).await
+    }
+
+    /// Whether an idle connection has ended. Guards against one that the other side has closed
+    /// while hyper has not yet been told: a request written to it would count as sent.
+    pub(crate) fn is_dead(&self) -> bool {
+        let peeked =
+            socket2::SockRef::from(&*self.socket.stream.borrow()).peek(&mut [MaybeUninit::uninit(); 1]);
+        self.sender.is_closed() || !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/backends/probe.rs
@@ -0,0 +1,63 @@
+//! What a backend is asked that is no job: its load, and what it knows of leases.
+//!
+//! It owns these calls and the reading of their answers. It must never bring a job, or wait without bound for
+//! a load.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::{Request, StatusCode};
+use tokio::time::timeout;
+
+use super::super::answers::LEASE_TOKEN;
+use super::super::Net;
+use super::dial_limit;
+use super::fetch::connect;
+use super::link::Link;
+use super::stream::{load_in, load_of, LoadForm, LONGEST_LINE};
+use oakshed_core::facade::{Report, Seen};
+
+/// Asks a backend for its load, where the decisions want it.
+pub(crate) async fn probe(net: Rc<Net>, to: Rc<str>) {
+    let load = timeout(2 * dial_limit(&net), ask_load(&net, &to)).await.ok().flatten();
+    net.report(Seen::Probed(&to, load.is_some(), load));
+}
+
+async fn ask_load(net: &Net, to: &str) -> Option<Report> {
+    let mut link = connect(net, to).await.ok()?;
+    let host = net.backends.address(to)?.to_string();
+    let request = Request::get("/status/load").header(HOST, host).body(Full::default()).ok()?;
+    let response = link.sender.send_request(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let in_head = load_in(response.headers());
+    let body =
+        http_body_util::Limited::new(response.into_body(), LONGEST_LINE).collect().await.ok()?.to_bytes();
+    if link.sender.ready().await.is_ok() {
+        net.backends.put_back(net, to, link);
+    }
+    let in_json = || serde_json::from_slice::<LoadForm>(&body).ok().map(Report::from);
+    in_head.or_else(in_json).or_else(|| std::str::from_utf8(&body).ok().map(load_of))
+}
+
+/// Asks a backend something that is no job, on a connection of its own; tells its answer's body where
+/// that is a 200. It need not be ready: a draining one still knows of what it has.
+pub(crate) async fn consult(net: &Net, to: &str, path: &str, token: u64, body: Bytes) -> Option<Bytes> {
+    let address = net.backends.last_address(to)?;
+    let slot = net.backends.slot(net)?;
+    let mut link = timeout(dial_limit(net), Link::open(address, Some(slot))).await.ok()?.ok()?;
+    let request = Request::post(path)
+        .header(HOST, address.to_string())
+        .header(&LEASE_TOKEN, token)
+        .header(CONTENT_LENGTH, body.len())
+        .body(Full::new(body));
+    let response = link.sender.send_request(request.ok()?).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = http_body_util::Limited::new(response.into_body(), 2 * LONGEST_LINE).collect().await;
+    Some(body.ok()?.to_bytes())
+}
--- a/crates/server/src/net/durable.rs
+++ b/crates/server/src/net/durable.rs
@@ -31,8 +31,11 @@
 use tokio::time::Sleep;
 use tracing::{error, info, warn};
 
-use super::backends::{self, Fetch, Order, Whose, LEASE_ID, LEASE_MS, LEASE_TOKEN};
-use super::front::{not_allowed, plain, synthetic, IDEMPOTENCY_KEY, REQ_OWNER};
+use super::answers::{
+    not_allowed, plain, synthetic, IDEMPOTENCY_KEY, LEASE_ID, LEASE_MS, LEASE_TOKEN, REQ_OWNER,
+};
+use super::backends::{self, Fetch};
+use super::order::Order;
 use super::Net;
 use crate::config::Config;
 
@@ -188,7 +191,7 @@
             }
             Effect::Fetch { id, token, worker, until, order } => {
                 let order = Rc::new(self.order(id, token, until, &order));
-                let fetch = backends::start(net, &order, Whose::Job(id, token), worker, until);
+                let fetch = backends::start(net, &order, Attempt(id, token), worker, until);
                 self.fetches.borrow_mut().insert((id, token), fetch);
             }
             Effect::Fence { id, token, worker, sure } => {
@@ -346,30 +349,29 @@
 
 // ---- What is seen ----
 
-/// A job of an attempt started, or goes on.
-pub(super) fn alive(net: &Net, id: JobId, token: u64, started: bool) {
-    let Some(durable) = &net.durable else { return };
-    let now = net.clock.now();
-    durable.jobs.borrow_mut().on_alive(now, id, token, started, &mut net.facade.borrow_mut());
-    durable.changed.notify_one();
-}
+/// A durable job's attempt, by its token.
+#[derive(Clone, Copy)]
+struct Attempt(JobId, u64);
 
-/// An attempt has ended.
-pub(super) fn ended(
-    net: &Rc<Net>,
-    id: JobId,
-    token: u64,
-    ending: Ending,
-    result: Option<Bytes>,
-    load: Option<Report>,
-) {
-    let Some(durable) = &net.durable else { return };
-    // Its task goes on with what is left of the connection: it is forgotten, not stopped.
-    durable.fetches.borrow_mut().remove(&(id, token));
-    let end = result.map_or(End::Other(ending), |result| End::Result(result.to_vec()));
-    let now = net.clock.now();
-    durable.jobs.borrow_mut().on_ended(now, id, token, end, load, &mut net.facade.borrow_mut());
-    durable.settle(net);
+impl backends::Told for Attempt {
+    fn alive(self, net: &Net, started: bool) {
+        let Attempt(id, token) = self;
+        let Some(durable) = &net.durable else { return };
+        let now = net.clock.now();
+        durable.jobs.borrow_mut().on_alive(now, id, token, started, &mut net.facade.borrow_mut());
+        durable.changed.notify_one();
+    }
+
+    fn ended(self, net: &Rc<Net>, ending: Ending, result: Option<Bytes>, load: Option<Report>) {
+        let Attempt(id, token) = self;
+        let Some(durable) = &net.durable else { return };
+        // Its task goes on with what is left of the connection: it is forgotten, not stopped.
+        durable.fetches.borrow_mut().remove(&(id, token));
+        let end = result.map_or(End::Other(ending), |result| End::Result(result.to_vec()));
+        let now = net.clock.now();
+        durable.jobs.borrow_mut().on_ended(now, id, token, end, load, &mut net.facade.borrow_mut());
+        durable.settle(net);
+    }
 }
 
 /// News of the list.
--- a/crates/server/src/net/front.rs
+++ b/crates/server/src/net/front.rs
@@ -15,22 +15,25 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, HOST};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use rustc_hash::FxHashSet;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tracing::warn;
 
-use super::backends::{self, Fetch, Order, Whose};
+use super::answers::{
+    not_allowed, plain, synthetic, IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_EXTRA, REQ_ID, REQ_KIND, REQ_OWNER,
+};
+use super::backends::{self, Fetch, Told};
 use super::durable;
+use super::order::{Held, Order};
 use super::reader::{Intake, Reader, ARRIVAL, LONGEST_HEAD};
 use super::Net;
-use oakshed_core::facade::{Ending, Job, Micros, Req, Seen, Step};
+use oakshed_core::facade::{Ending, Job, Micros, Report, Req, Seen, Step};
 use oakshed_core::figures::{End, Entry};
 use oakshed_core::interface::Effect;
 use oakshed_core::names;
@@ -59,15 +62,6 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// The answer to what cannot be read.
 const UNREADABLE: &[u8] = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// Bodies may take this part of the memory.
-const BODIES_PART: usize = 8;
-
-static REQ_ID: HeaderName = HeaderName::from_static("req-id");
-static REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
-pub(super) static REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
-static REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
-static REQ_EXTRA: HeaderName = HeaderName::from_static("req-extra");
-pub(super) static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 // ---- Connections ----
 
@@ -322,22 +316,6 @@
 
 // ---- Requests ----
 
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response
-}
-
-pub(super) fn synthetic(retry_after: Option<Micros>) -> Response<Full<Bytes>> {
-    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
-    let value = retry_after.map(|t| format!("{:.3}", t as f64 / 1e6));
-    if let Some(value) = value.and_then(|v| HeaderValue::try_from(v).ok()) {
-        answer.headers_mut().insert(RETRY_AFTER, value);
-    }
-    answer
-}
-
 async fn respond(net: &Rc<Net>, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = net.clock.now();
     let (head, body) = request.into_parts();
@@ -419,64 +397,6 @@
     handle(net, &job, Rc::new(Order { _held: Some(held), ..order })).await
 }
 
-/// The ids of the open reqs, and the bytes of their bodies and of those under way.
-#[derive(Default)]
-pub(crate) struct Open {
-    ids: RefCell<FxHashSet<HeaderValue>>,
-    bodies: Cell<usize>,
-}
-
-impl Open {
-    pub(super) fn ids(&self) -> usize {
-        self.ids.borrow().len()
-    }
-
-    pub(super) fn bytes(&self) -> usize {
-        self.bodies.get()
-    }
-}
-
-/// What one req holds of these, for as long as its handler or a fetch has its order: where attempts may
-/// not be cancelled, a fetch outlives its client.
-pub(crate) struct Held {
-    net: Rc<Net>,
-    id: Option<HeaderValue>,
-    body: usize,
-}
-
-impl Held {
-    /// Room for a body. Guards against many large ones at once, which would end the program.
-    fn room(net: &Rc<Net>, body: usize) -> Option<Held> {
-        let bodies = net.open.bodies.get() + body;
-        if bodies > net.config.memory / BODIES_PART / net.others.sharers() {
-            return None;
-        }
-        net.open.bodies.set(bodies);
-        Some(Held { net: net.clone(), id: None, body })
-    }
-
-    /// The id, unless another open req has it: a backend's answer could not be told apart.
-    fn claim(&mut self, id: &HeaderValue) -> bool {
-        let new = self.net.open.ids.borrow_mut().insert(id.clone());
-        self.id = new.then(|| id.clone());
-        new
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        let open = &self.net.open;
-        open.bodies.set(open.bodies.get() - self.body);
-        self.id.take().into_iter().for_each(|id| _ = open.ids.borrow_mut().remove(&id));
-    }
-}
-
-pub(super) fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n");
-    answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
-    answer
-}
-
 /// Takes out of a request what the decisions need and keeps the rest as it came. What no backend
 /// should see is answered here.
 async fn read(
@@ -599,6 +519,22 @@
     }
 }
 
+/// A req's fetch, by its number.
+#[derive(Clone, Copy)]
+struct ReqFetch(Req, usize);
+
+impl Told for ReqFetch {
+    fn alive(self, net: &Net, started: bool) {
+        let ReqFetch(req, fetch) = self;
+        net.report(if started { Seen::Started(req, fetch) } else { Seen::Progress(req, fetch) });
+    }
+
+    fn ended(self, net: &Rc<Net>, ending: Ending, _: Option<Bytes>, load: Option<Report>) {
+        let ReqFetch(req, fetch) = self;
+        net.report(Seen::Ended(req, fetch, ending, load));
+    }
+}
+
 async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>) -> Response<Full<Bytes>> {
     let req = net.facade.borrow_mut().take(net.clock.now(), job);
     let mut handler = Handler { net, req, fetches: Vec::new() };
@@ -606,7 +542,7 @@
         match net.pick(req).await {
             Step::Fetch { fetch, backend, until } => {
                 net.must(fetch == handler.fetches.len(), "fetches are numbered in order");
-                handler.fetches.push(backends::start(net, &order, Whose::Req(req, fetch), backend, until));
+                handler.fetches.push(backends::start(net, &order, ReqFetch(req, fetch), backend, until));
             }
             Step::Serve { fetch } => {
                 let result = match handler.fetches.get_mut(fetch) {
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -2,14 +2,20 @@
 //!
 //! This file owns what the parts share (clock, facade, counters, the stop) and the timer task. It
 //! must never decide on a req: each step comes from the facade, and what is seen goes back to it.
+//!
+//! The parts use one another in one direction: `front` uses `durable` and `backends`, `durable` uses
+//! `backends`, and `backends` neither. `answers` and `order` are leaves: all three use them, and they
+//! use none of the three. What a fetch has to say goes back through the trait `backends::Told`.
 
 mod admin;
+mod answers;
 pub mod backends;
 mod bans;
 pub mod director;
 mod durable;
 pub mod front;
 mod handover;
+mod order;
 mod reader;
 
 use std::cell::{Cell, RefCell};
@@ -122,7 +128,7 @@
     pub ready: Cell<bool>,
     /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
     pub stop: Cell<Option<(Micros, Micros)>>,
-    pub open: front::Open,
+    pub open: order::Open,
     pub others: handover::Others,
     pub bans: bans::Bans,
     /// The list as the director told it.
@@ -146,7 +152,7 @@
             subscribe: Notify::new(),
             ready: Cell::new(false),
             stop: Cell::new(None),
-            open: front::Open::default(),
+            open: order::Open::default(),
             others: handover::Others::default(),
             bans: bans::Bans::default(),
             held: RefCell::default(),
--- /dev/null
+++ b/crates/server/src/net/order.rs
@@ -0,0 +1,101 @@
+//! What goes to a backend for a req, and the room that reqs take until they are answered.
+//!
+//! It owns the ids of the open reqs and the count of their bodies' bytes, and gives both back with the last
+//! copy of an order. It must never know who fetches, or for whom: of the network's parts it uses
+//! `answers` alone.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, Uri};
+use oakshed_core::facade::Micros;
+use rustc_hash::FxHashSet;
+
+use super::answers::REQ_DEADLINE;
+use super::Net;
+
+/// Bodies may take this part of the memory.
+const BODIES_PART: usize = 8;
+
+/// What goes to a backend unchanged.
+pub(crate) struct Order {
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub headers: HeaderMap,
+    pub id: HeaderValue,
+    pub body: Bytes,
+    /// When the client gives up, or this program has to end.
+    pub deadline: Micros,
+    /// The id and the room for the body, which are given back with the last copy of this.
+    pub _held: Option<Held>,
+}
+
+impl Order {
+    pub(super) fn request(&self, now: Micros) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(Uri::from(self.target.clone()))
+            .body(Full::new(self.body.clone()))?;
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        headers.insert(CONTENT_LENGTH, self.body.len().into());
+        headers.insert(&REQ_DEADLINE, (self.deadline.saturating_sub(now) / 1_000).into());
+        Ok(request)
+    }
+}
+
+/// The ids of the open reqs, and the bytes of their bodies and of those under way.
+#[derive(Default)]
+pub(crate) struct Open {
+    ids: RefCell<FxHashSet<HeaderValue>>,
+    bodies: Cell<usize>,
+}
+
+impl Open {
+    pub(super) fn ids(&self) -> usize {
+        self.ids.borrow().len()
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bodies.get()
+    }
+}
+
+/// What one req holds of these, for as long as its handler or a fetch has its order: where attempts may
+/// not be cancelled, a fetch outlives its client.
+pub(crate) struct Held {
+    net: Rc<Net>,
+    id: Option<HeaderValue>,
+    body: usize,
+}
+
+impl Held {
+    /// Room for a body. Guards against many large ones at once, which would end the program.
+    pub(super) fn room(net: &Rc<Net>, body: usize) -> Option<Held> {
+        let bodies = net.open.bodies.get() + body;
+        if bodies > net.config.memory / BODIES_PART / net.others.sharers() {
+            return None;
+        }
+        net.open.bodies.set(bodies);
+        Some(Held { net: net.clone(), id: None, body })
+    }
+
+    /// The id, unless another open req has it: a backend's answer could not be told apart.
+    pub(super) fn claim(&mut self, id: &HeaderValue) -> bool {
+        let new = self.net.open.ids.borrow_mut().insert(id.clone());
+        self.id = new.then(|| id.clone());
+        new
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let open = &self.net.open;
+        open.bodies.set(open.bodies.get() - self.body);
+        self.id.take().into_iter().for_each(|id| _ = open.ids.borrow_mut().remove(&id));
+    }
+}
