Split the clients' side by concern into net/front/

Cutting by layer (sockets, HTTP) was not taken: the table and the conversation share each connection's state.

front/ is now mod (listener, accepting, the stop), clients (connections and which makes room), conversation (hyper and what is left after it), request (reading) and handle (a req's way to its answer). `front` uses `durable`, `backends` and the leaves, and none of these uses it.

--- /dev/null
+++ b/crates/server/src/net/front/clients.rs
@@ -0,0 +1,103 @@
+//! The clients' connections, and which of them makes room.
+//!
+//! It owns the table of them and what is known of each. It must never make room by closing one whose req
+//! is taken or still comes in; only what is overdue goes all the same.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use oakshed_core::facade::Micros;
+use tokio::sync::Notify;
+
+use super::super::reader::Intake;
+use super::super::Net;
+
+/// The time that a new connection has to bring a req before it is the first to make room, in
+/// microseconds.
+const GRACE: Micros = 200_000;
+/// Between two looks at what is overdue.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// A client's connection.
+pub(super) struct Client {
+    /// Since when no whole req is under way on it.
+    pub(super) idle_since: Cell<Option<Micros>>,
+    /// It has brought a whole req.
+    pub(super) known: Cell<bool>,
+    pub(super) told_to_close: Cell<bool>,
+    pub(super) close: Notify,
+    pub(super) intake: Rc<Intake>,
+}
+
+impl Client {
+    fn close(&self) {
+        self.told_to_close.set(true);
+        self.close.notify_one();
+    }
+}
+
+/// The clients' connections.
+#[derive(Default)]
+pub(super) struct Clients {
+    pub(super) open: RefCell<Vec<Rc<Client>>>,
+    pub(super) changed: Notify,
+}
+
+impl Clients {
+    /// Asks the connection that is missed least to close; tells whether there was one. First goes who has
+    /// said nothing in the time to bring a req, longest first; then whose req has begun and makes no
+    /// progress; then who is idle between reqs; last who came just now. Never one whose req is taken, or
+    /// still comes in, however slowly. Guards against usual clients that lose theirs to hundreds that say
+    /// nothing or half of something, and against closing, in a full house, always on the one just accepted.
+    pub(super) fn close_one(&self, now: Micros) -> bool {
+        let at = tokio::time::Instant::now();
+        let rank = |c: &Client, since: Micros| match c.intake.part(at) {
+            Some(true) => None,
+            Some(false) => Some(1),
+            None if c.known.get() => Some(2),
+            None if now > since + GRACE => Some(0),
+            None => Some(3),
+        };
+        let open = self.open.borrow();
+        let staying = open.iter().filter(|c| !c.told_to_close.get());
+        let ranked = |c: &Rc<Client>| c.idle_since.get().and_then(|since| Some((rank(c, since)?, since)));
+        let least = staying.filter_map(|c| Some((ranked(c)?, c))).min_by_key(|(key, _)| *key);
+        least.map(|(_, client)| client.close()).is_some()
+    }
+
+    pub(super) async fn all_gone(&self) {
+        while !self.open.borrow().is_empty() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Closes the one idle for longest of those that have brought a req, where these are too many.
+    /// Guards against clients that ask once and stay: the platform gives us no more connections for
+    /// reqs than a third of the descriptors, and turns usual clients away from there on.
+    pub(super) fn keep_room(&self, sockets: usize, now: Micros) {
+        let open = self.open.borrow();
+        let known = || open.iter().filter(|c| c.known.get() && !c.told_to_close.get());
+        let most = sockets / 3 * 3 / 4;
+        if open.len() > most && known().count() > most {
+            // One that was answered just now may not have all of its answer yet.
+            let begun = |c: &Client| c.intake.part(tokio::time::Instant::now()).is_some();
+            let idle = known().filter(|c| !begun(c));
+            let idle = idle.filter_map(|c| Some((c.idle_since.get().filter(|at| now > at + GRACE)?, c)));
+            idle.min_by_key(|(since, _)| *since).into_iter().for_each(|(_, client)| client.close());
+        }
+    }
+}
+
+/// Closes connections whose req began too long ago and is not there yet; one that never said
+/// anything is such a one, one that is idle between reqs is not.
+pub(super) async fn sweep(net: Rc<Net>, clients: Rc<Clients>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let now = tokio::time::Instant::now();
+        for client in clients.open.borrow().iter().filter(|c| c.intake.overdue(now)) {
+            net.count(|c| &mut c.overdue_reqs);
+            client.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/front/handle.rs
@@ -0,0 +1,162 @@
+//! One req from its arrival to its answer.
+//!
+//! It owns the handler that does what the decisions say, the req's place in the figures, and the words of its
+//! fetches. It must never decide what a req gets (each step comes from the facade's `pick`), or hold an answer
+//! back.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::super::answers::{not_allowed, plain, synthetic};
+use super::super::backends::{self, Fetch, Told};
+use super::super::durable;
+use super::super::order::Order;
+use super::super::Net;
+use super::clients::Client;
+use super::request::{class_of, read};
+use oakshed_core::facade::{Ending, Job, Micros, Report, Req, Seen, Step};
+use oakshed_core::figures::{End, Entry};
+
+pub(super) async fn respond(
+    net: &Rc<Net>,
+    client: &Client,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let arrived = net.clock.now();
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/ready" {
+        return match head.method {
+            Method::GET | Method::HEAD if net.can_serve() => plain(StatusCode::OK, "ready\n"),
+            Method::GET | Method::HEAD => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => not_allowed("GET, HEAD"),
+        };
+    }
+    if net.durable.is_some() && head.uri.path().starts_with("/jobs/") {
+        return durable::job(net, &head).await;
+    }
+    let class = class_of(net, &head);
+    let taken = Taken { net, class, entry: RefCell::new(None) };
+    let answer = answer(net, client, &taken, arrived, head, body).await;
+    let end = match answer.status() {
+        StatusCode::OK => End::Completed,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Rejected,
+        // A durable job that goes on without its client: whoever asks for it later is told its end.
+        StatusCode::ACCEPTED => End::Abandoned,
+        _ => End::Failed,
+    };
+    taken.entry().end(end);
+    answer
+}
+
+/// A req's place in the operators' figures: it counts from when it has arrived in full, or has its
+/// answer, whichever comes first.
+struct Taken<'a> {
+    net: &'a Net,
+    class: Option<usize>,
+    entry: RefCell<Option<Entry>>,
+}
+
+impl Taken<'_> {
+    fn arrived(&self) {
+        *self.entry.borrow_mut() = Some(self.net.ledger.take(self.class));
+    }
+
+    fn entry(&self) -> Entry {
+        self.entry.take().unwrap_or_else(|| self.net.ledger.take(self.class))
+    }
+}
+
+async fn answer(
+    net: &Rc<Net>,
+    client: &Client,
+    taken: &Taken<'_>,
+    arrived: Micros,
+    head: Parts,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
+    let asked = durable::Asked::read(&head.headers);
+    let (job, order, mut held) = match read(net, client, taken.class, arrived, head, body).await {
+        Ok(read) => read,
+        Err(answer) => {
+            net.count(|c| &mut c.bad_reqs);
+            return answer;
+        }
+    };
+    client.intake.arrived();
+    taken.arrived();
+    client.known.set(true);
+    client.idle_since.set(None);
+    if net.durable.is_some() {
+        return durable::handle(net, &job, order, &asked).await;
+    }
+    if !held.claim(&order.id) {
+        net.count(|c| &mut c.bad_reqs);
+        return plain(StatusCode::CONFLICT, "another open req has this Req-Id\n");
+    }
+    handle(net, &job, Rc::new(Order { _held: Some(held), ..order })).await
+}
+
+/// A req from its arrival to its answer. Where its client goes away first, hyper drops it, and
+/// what is still out is given up.
+struct Handler<'a> {
+    net: &'a Rc<Net>,
+    req: Req,
+    fetches: Vec<Fetch>,
+}
+
+impl Drop for Handler<'_> {
+    fn drop(&mut self) {
+        let drops = self.net.facade.borrow_mut().leave(self.net.clock.now(), self.req);
+        drops.into_iter().filter_map(|n| self.fetches.get(n)).for_each(Fetch::stop);
+    }
+}
+
+/// A req's fetch, by its number.
+#[derive(Clone, Copy)]
+struct ReqFetch(Req, usize);
+
+impl Told for ReqFetch {
+    fn alive(self, net: &Net, started: bool) {
+        let ReqFetch(req, fetch) = self;
+        net.report(if started { Seen::Started(req, fetch) } else { Seen::Progress(req, fetch) });
+    }
+
+    fn ended(self, net: &Rc<Net>, ending: Ending, _: Option<Bytes>, load: Option<Report>) {
+        let ReqFetch(req, fetch) = self;
+        net.report(Seen::Ended(req, fetch, ending, load));
+    }
+}
+
+async fn handle(net: &Rc<Net>, job: &Job, order: Rc<Order>) -> Response<Full<Bytes>> {
+    let req = net.facade.borrow_mut().take(net.clock.now(), job);
+    let mut handler = Handler { net, req, fetches: Vec::new() };
+    loop {
+        match net.pick(req).await {
+            Step::Fetch { fetch, backend, until } => {
+                net.must(fetch == handler.fetches.len(), "fetches are numbered in order");
+                handler.fetches.push(backends::start(net, &order, ReqFetch(req, fetch), backend, until));
+            }
+            Step::Serve { fetch } => {
+                let result = match handler.fetches.get_mut(fetch) {
+                    Some(fetch) => fetch.result().await,
+                    None => None,
+                };
+                net.must(result.is_some(), "a served fetch has its result");
+                let Some(result) = result else { return plain(StatusCode::BAD_GATEWAY, "failed\n") };
+                return Response::new(Full::new(result));
+            }
+            Step::Synthetic { retry_after } => return synthetic(retry_after),
+            Step::Fail => return plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Step::Drop { fetch } => {
+                handler.fetches.get(fetch).into_iter().for_each(Fetch::stop);
+                net.report(Seen::Ended(req, fetch, Ending::Revoked, None));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/front/mod.rs
@@ -0,0 +1,123 @@
+//! The clients' side: the listener, and the connections from being accepted to being gone.
+//!
+//! It owns who is accepted, and when no more is. `clients` owns which connection makes room, `conversation` a
+//! connection, `request` the reading of a req, `handle` its way to its answer. It must never decide what a req
+//! gets, or end before every connection has.
+
+mod clients;
+mod conversation;
+mod handle;
+mod request;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tracing::warn;
+
+use super::reader::Intake;
+use super::Net;
+use clients::{sweep, Client, Clients};
+use conversation::{converse, part};
+
+/// How many connections may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long to wait where accepting fails for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// For how long a client is still read from after an answer that closes.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Binds the one address given. `shared` lets the next process of this scheduler bind it too.
+pub(crate) fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
+    let bound = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
+    bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+}
+
+/// Accepts and serves until the program is to close, and then until every connection has ended.
+pub(crate) async fn run(net: &Rc<Net>, listener: TcpListener) {
+    let clients = Rc::new(Clients::default());
+    tokio::task::spawn_local(sweep(net.clone(), clients.clone()));
+    let mut told = net.closing.subscribe();
+    let mut closing = pin!(told.wait_for(|closing| *closing));
+    let mut told = net.handed.subscribe();
+    let mut handed = pin!(told.wait_for(|handed| *handed));
+    loop {
+        // A full house accepts nobody until an idle connection has made room.
+        while clients.open.borrow().len() >= net.socket_share() {
+            if clients.close_one(net.clock.now()) {
+                net.count(|c| &mut c.evicted_clients);
+            }
+            tokio::select! {
+                () = clients.changed.notified() => {}
+                () = tokio::time::sleep(ACCEPT_PAUSE) => {}
+            }
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = &mut closing => break,
+            // The next process accepts from the same queue.
+            _ = &mut handed => {
+                drop(listener);
+                net.others.close();
+                return clients.all_gone().await;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => welcome(net, &clients, stream),
+            // It ended before it was accepted: nothing of ours is amiss.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                // Mostly for want of descriptors: trying again at once would spin.
+                net.count(|c| &mut c.accept_errors);
+                let errors = net.counters.borrow().accept_errors;
+                if errors.is_power_of_two() {
+                    warn!(errors, "accept failed for the {errors}. time: {e}");
+                }
+                net.backends.close_oldest();
+                clients.close_one(net.clock.now());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    // Connections that the system has accepted for us may carry reqs already. There may be as many as
+    // BACKLOG, and descriptors for fewer: the others wait until one of these has ended.
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        welcome(net, &clients, stream);
+        while clients.open.borrow().len() >= net.socket_share() {
+            clients.changed.notified().await;
+        }
+    }
+    drop(listener);
+    net.others.close();
+    clients.all_gone().await;
+}
+
+fn welcome(net: &Rc<Net>, clients: &Rc<Clients>, stream: TcpStream) {
+    _ = stream.set_nodelay(true);
+    let client = Rc::new(Client {
+        idle_since: Cell::new(Some(net.clock.now())),
+        known: Cell::new(false),
+        told_to_close: Cell::new(false),
+        close: Notify::new(),
+        intake: Rc::new(Intake::new()),
+    });
+    clients.open.borrow_mut().push(client.clone());
+    let (net, clients) = (net.clone(), clients.clone());
+    tokio::task::spawn_local(async move {
+        let stream = Rc::new(RefCell::new(stream));
+        converse(&net, &clients, &client, stream.clone()).await;
+        if let Some(stream) = Rc::into_inner(stream).map(RefCell::into_inner) {
+            _ = tokio::time::timeout(LINGER, part(&net, &client, &stream)).await;
+        }
+        clients.open.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
+        clients.changed.notify_one();
+    });
+}
