Split durable jobs' shell by concern into net/durable/

Moving the carrying out into a file of its own was not taken: it shares every field with `Durable`.

durable/ is now mod (Durable, open, settle, carry_out), run (timer, the store's word, chores), seen (an attempt's words through `Told`, news of the list), fence and clients.

Nothing but places changed: the comparison of lines over all three former files shows the trait and its forms, `mod` lines, three heads broken by the formatter and two comments told in halves.

--- /dev/null
+++ b/crates/server/src/net/durable/mod.rs
@@ -0,0 +1,262 @@
+//! Durable jobs on the network: the shell around `oakshed_jobs`.
+//!
+//! It owns the opening of the store, the attempts under way, and the carrying out of the machine's effects;
+//! `run` owns its time and the store's word, `seen` what is told to it, `fence` the form of what workers say of
+//! leases (docs/leases.md), `clients` the form of what clients say of jobs. It must never decide anything, carry
+//! out what the machine has not let out, or know of the front.
+
+mod clients;
+mod fence;
+mod run;
+mod seen;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::Method;
+use oakshed_core::facade::Micros;
+use oakshed_core::interface::Effect as Kind;
+use oakshed_jobs::disk::{self, Disk};
+use oakshed_jobs::group::{Group, Told};
+use oakshed_jobs::log::{encode_all, Log};
+use oakshed_jobs::machine::{Counts, Effect, Jobs, Limits, Names};
+use oakshed_jobs::record::{self, Answer, JobId};
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot, Notify};
+use tracing::{info, warn};
+
+use super::answers::{LEASE_ID, LEASE_MS, LEASE_TOKEN};
+use super::backends::{self, Fetch};
+use super::order::Order;
+use super::Net;
+use crate::config::Config;
+use fence::fence;
+use seen::Attempt;
+
+pub(super) use clients::{handle, job, Asked};
+pub(super) use run::run;
+pub(super) use seen::list;
+
+/// Workers that are asked at once; further ones are asked later.
+const FENCES: usize = 64;
+/// How long a worker may take to answer a fence.
+const FENCE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Safe results kept for a worker; beyond, it drops them by age.
+const SAFE_KEPT: usize = 10_000;
+
+/// What is told to those who wait for a job.
+#[derive(Clone)]
+enum News {
+    Accepted,
+    Answer(Answer),
+}
+
+/// The durable jobs, and all that is under way for them.
+pub(crate) struct Durable {
+    jobs: RefCell<Jobs>,
+    group: Group,
+    dir: std::path::PathBuf,
+    leases: bool,
+    lease_ms: u64,
+    max_payload: usize,
+    waiting: RefCell<FxHashMap<JobId, Vec<oneshot::Sender<News>>>>,
+    fetches: RefCell<FxHashMap<(JobId, u64), Fetch>>,
+    safe: RefCell<SafeAt>,
+    fencing: Cell<usize>,
+    synced: Cell<u64>,
+    changed: Notify,
+    failure: RefCell<Option<String>>,
+    syncs: Cell<(u64, u64, Duration)>,
+    full: Cell<bool>,
+}
+
+/// Results that are safe, by the worker that may drop them.
+type SafeAt = FxHashMap<Rc<str>, Vec<(JobId, u64)>>;
+type Inbox = Option<mpsc::UnboundedReceiver<Told>>;
+
+/// Opens the store, where the operators have switched durable jobs on.
+pub(super) fn open(config: &Config, now: Micros) -> io::Result<(Option<Durable>, Inbox)> {
+    let Some(file) = &config.operator.jobs else { return Ok((None, None)) };
+    let wrong = |e: &dyn std::fmt::Display| io::Error::other(format!("jobs.dir {}: {e}", file.dir.display()));
+    let start = std::time::Instant::now();
+    let disk = Disk::lock(&file.dir).map_err(|e| wrong(&e))?;
+    let (log, recovered) = Log::open(disk, file.segment_mb << 20).map_err(|e| wrong(&e))?;
+    if let Some((name, offset)) = &recovered.cut {
+        warn!(file = name, offset, "store: {name} ended in a torn write at offset {offset}, which was cut");
+    }
+    // No answer may be forgotten while a keyed job could still be sent again.
+    let window = config.settings.classes.iter().map(|c| c.window).max().unwrap_or(0);
+    let limits = Limits {
+        leases: file.leases,
+        lease: file.lease_ms * 1_000,
+        keep: (file.keep_answers_s * 1_000_000).max(window),
+        open: file.max_open,
+        kept: file.max_kept,
+        bytes: file.max_kept_mb << 20,
+    };
+    let names = Names { classes: config.names.classes.clone(), tenants: config.names.tenants.clone() };
+    let (records, next) = (recovered.records.len(), log.next());
+    let jobs = Jobs::restore(limits, names, recovered.records, next, now, disk::boot());
+    let (opened, doubt, kept, _) = jobs.sizes();
+    let ms = start.elapsed().as_millis() as u64;
+    info!(
+        records,
+        opened,
+        doubt,
+        kept,
+        ms,
+        "store: {records} records read in {ms} ms; {kept} jobs, {opened} of them open, {doubt} in doubt"
+    );
+    let (tx, rx) = mpsc::unbounded_channel();
+    let group = Group::start(log, move |told| _ = tx.send(told))?;
+    let durable = Durable {
+        jobs: RefCell::new(jobs),
+        group,
+        dir: file.dir.clone(),
+        leases: file.leases,
+        lease_ms: file.lease_ms,
+        max_payload: file.max_payload_kb << 10,
+        waiting: RefCell::default(),
+        fetches: RefCell::default(),
+        safe: RefCell::default(),
+        fencing: Cell::new(0),
+        synced: Cell::new(next - 1),
+        changed: Notify::new(),
+        failure: RefCell::default(),
+        syncs: Cell::default(),
+        full: Cell::new(false),
+    };
+    Ok((Some(durable), Some(rx)))
+}
+
+impl Durable {
+    /// Why the store has failed, where it has.
+    pub(super) fn failure(&self) -> Option<String> {
+        self.failure.borrow().clone()
+    }
+
+    pub(super) fn summary(&self) -> String {
+        let jobs = self.jobs.borrow();
+        let Counts { taken, again, conflicts, busy, fences, doubts, settled, broken } = jobs.counts();
+        let (open, doubt, kept, bytes) = jobs.sizes();
+        let (syncs, records, time) = self.syncs.get();
+        let mean = time.as_micros() as u64 / syncs.max(1);
+        format!(
+            " Jobs {{ taken: {taken}, again: {again}, conflicts: {conflicts}, busy: {busy}, fences: {fences}, \
+             doubts: {doubts}, settled: {settled}, broken: {broken}, open: {open}, in_doubt: {doubt}, \
+             kept: {kept}, bytes: {bytes}, syncs: {syncs}, synced_records: {records}, mean_sync_us: {mean} }}"
+        )
+    }
+
+    /// Carries out what the machine wants, and hands its records to the store.
+    fn settle(&self, net: &Rc<Net>) {
+        loop {
+            let effect = self.jobs.borrow_mut().effect();
+            let Some(effect) = effect else { break };
+            self.carry_out(net, effect);
+        }
+        let (first, records) = self.jobs.borrow_mut().records();
+        if records.is_empty() || self.failure.borrow().is_some() {
+            return;
+        }
+        let (frames, lengths) = encode_all(first, self.synced.get(), &records);
+        self.group.append(frames, lengths, first + records.len() as u64 - 1);
+    }
+
+    fn tell(&self, id: JobId, news: &News) {
+        let waiting = self.waiting.borrow_mut().remove(&id);
+        waiting.into_iter().flatten().for_each(|to| _ = to.send(news.clone()));
+    }
+
+    fn carry_out(&self, net: &Rc<Net>, effect: Effect) {
+        match effect {
+            Effect::Accepted(id) => self.tell(id, &News::Accepted),
+            Effect::Answer(id, answer) => self.tell(id, &News::Answer(answer)),
+            Effect::Trim(low) => self.group.trim(low),
+            Effect::Stop { id, token } => {
+                let fetch = self.fetches.borrow_mut().remove(&(id, token));
+                fetch.iter().for_each(Fetch::stop);
+            }
+            Effect::Fetch { id, token, worker, until, order } => {
+                let order = Rc::new(self.order(id, token, until, &order));
+                let fetch = backends::start(net, &order, Attempt(id, token), worker, until);
+                self.fetches.borrow_mut().insert((id, token), fetch);
+            }
+            Effect::Fence { id, token, worker, sure } => {
+                let net = net.clone();
+                let room = self.fencing.get() < FENCES;
+                self.fencing.set(self.fencing.get() + usize::from(room));
+                tokio::task::spawn_local(async move {
+                    let asked = async {
+                        if room {
+                            fence(&net, &worker, id, token).await
+                        } else {
+                            None
+                        }
+                    };
+                    let word = tokio::time::timeout(FENCE_LIMIT, asked).await.ok().flatten();
+                    let Some(durable) = &net.durable else { return };
+                    durable.fencing.set(durable.fencing.get() - usize::from(room));
+                    let now = net.clock.now();
+                    let facade = &mut net.facade.borrow_mut();
+                    durable.jobs.borrow_mut().on_fenced(now, id, token, word, sure, facade);
+                    durable.changed.notify_one();
+                });
+            }
+            Effect::Safe { id, token, worker } => {
+                let mut safe = self.safe.borrow_mut();
+                let list = safe.entry(worker).or_default();
+                if list.len() < SAFE_KEPT {
+                    list.push((id, token));
+                }
+            }
+        }
+    }
+
+    /// What goes to a worker: the client's order, and the lease where the worker knows what that is.
+    fn order(&self, id: JobId, token: u64, until: Micros, order: &record::Order) -> Order {
+        let mut headers = HeaderMap::with_capacity(order.fields.len() + 3);
+        for (name, value) in &order.fields {
+            // Both were read from a request once, and are as good as then.
+            if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(value)) {
+                headers.append(name, value);
+            }
+        }
+        if self.leases {
+            if let Ok(id) = HeaderValue::try_from(id.to_string()) {
+                headers.insert(&LEASE_ID, id);
+            }
+            headers.insert(&LEASE_TOKEN, token.into());
+            headers.insert(&LEASE_MS, self.lease_ms.into());
+        }
+        let target =
+            order.target.parse().unwrap_or_else(|_| hyper::http::uri::PathAndQuery::from_static("/"));
+        let req_id = HeaderName::from_static("req-id");
+        let id = headers.get(&req_id).cloned().unwrap_or_else(|| HeaderValue::from_static("-"));
+        let body = Bytes::copy_from_slice(&order.body);
+        Order { method: Method::POST, target, headers, id, body, deadline: until, _held: None }
+    }
+
+    fn wait_for(&self, id: JobId) -> oneshot::Receiver<News> {
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        let list = waiting.entry(id).or_default();
+        // Those that have gone away since.
+        list.retain(|to| !to.is_closed());
+        list.push(tx);
+        rx
+    }
+}
+
+/// Whether any class may be sent again at all where leases are unknown: told once at the start.
+pub(super) fn advice(config: &Config) -> Option<&'static str> {
+    let jobs = config.operator.jobs.as_ref()?;
+    let strict = config.settings.classes.iter().any(|c| c.effect == Kind::Unsafe);
+    (strict && !jobs.leases).then_some(
+        "workers speak no leases: a job that must not run twice is in doubt when its connection breaks",
+    )
+}
--- /dev/null
+++ b/crates/server/src/net/durable/run.rs
@@ -0,0 +1,110 @@
+//! What keeps the machine of durable jobs going.
+//!
+//! It owns the timer, the hearing of the store's word, and the chores now and then. It must never touch a job
+//! past the machine.
+
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use oakshed_jobs::disk;
+use oakshed_jobs::group::Told;
+use tokio::time::Sleep;
+use tracing::{error, info, warn};
+
+use super::super::{backends, Net};
+use super::{Durable, Inbox, FENCE_LIMIT};
+
+/// Between two looks at what operators want settled, at the room, and at results that are safe.
+const CHORES: Duration = Duration::from_millis(500);
+/// Safe results told to a worker at once.
+const SAFE_AT_ONCE: usize = 1_000;
+
+/// Keeps the machine going: the store's word, time, and what others have woken it for.
+pub(in super::super) async fn run(net: Rc<Net>, told: Inbox) {
+    let (Some(durable), Some(mut told)) = (&net.durable, told) else { return };
+    tokio::task::spawn_local(chores(net.clone()));
+    let mut sleep: Pin<Box<Sleep>> = Box::pin(tokio::time::sleep(Duration::ZERO));
+    loop {
+        let mut changed = std::pin::pin!(durable.changed.notified());
+        poll_fn(|cx| {
+            let mut news = changed.as_mut().poll(cx).is_ready();
+            while let Poll::Ready(Some(word)) = told.poll_recv(cx) {
+                hear(&net, durable, word);
+                news = true;
+            }
+            let now = net.clock.now();
+            let next = durable.jobs.borrow_mut().tick(now, &mut net.facade.borrow_mut(), cx.waker());
+            durable.settle(&net);
+            if news {
+                return Poll::Ready(());
+            }
+            let Some(next) = next else { return Poll::Pending };
+            sleep.as_mut().reset(net.clock.instant(next));
+            sleep.as_mut().poll(cx)
+        })
+        .await;
+    }
+}
+
+fn hear(net: &Rc<Net>, durable: &Durable, told: Told) {
+    let now = net.clock.now();
+    let (mut jobs, mut facade) = (durable.jobs.borrow_mut(), net.facade.borrow_mut());
+    match told {
+        Told::Synced { number, took, records } => {
+            durable.synced.set(number);
+            let (n, all, time) = durable.syncs.get();
+            durable.syncs.set((n + 1, all + records as u64, time + took));
+            jobs.on_synced(now, number, &mut facade);
+        }
+        Told::Room(room) => {
+            if durable.full.replace(!room) == room {
+                match room {
+                    true => info!("store: there is room again; new jobs are taken"),
+                    false => {
+                        warn!("store: the disk has no room for a further file; no new jobs until it has")
+                    }
+                }
+            }
+            jobs.set_full(!room);
+        }
+        Told::Failed(why) => {
+            error!("store: {why}; nothing more is written, new jobs get 503; look at the disk, then restart");
+            *durable.failure.borrow_mut() = Some(why);
+            jobs.on_failed(now);
+        }
+    }
+}
+
+/// What is looked after now and then.
+async fn chores(net: Rc<Net>) {
+    let Some(durable) = &net.durable else { return };
+    loop {
+        tokio::time::sleep(CHORES).await;
+        if durable.full.get() {
+            durable.group.look_for_room();
+        }
+        for (path, id, outcome) in disk::settlements(&durable.dir) {
+            // The file goes only once the word is on disk: at the next look, when nothing is left to settle.
+            if durable.jobs.borrow_mut().settle(net.clock.now(), id, outcome) {
+                info!("store: an operator says of {id}: {outcome:?}");
+            } else if durable.jobs.borrow().is_durable(id) || durable.jobs.borrow().view(id).is_none() {
+                _ = std::fs::remove_file(path);
+            }
+        }
+        let safe = std::mem::take(&mut *durable.safe.borrow_mut());
+        for (worker, list) in safe {
+            let net = net.clone();
+            tokio::task::spawn_local(async move {
+                for part in list.chunks(SAFE_AT_ONCE) {
+                    let text: String = part.iter().map(|(id, token)| format!("{id} {token}\n")).collect();
+                    let told = backends::consult(&net, &worker, "/leases/safe", 0, text.into());
+                    _ = tokio::time::timeout(FENCE_LIMIT, told).await;
+                }
+            });
+        }
+        durable.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/server/src/net/durable/seen.rs
@@ -0,0 +1,48 @@
+//! What is seen of durable jobs: their attempts' starts and ends, and news of the list.
+//!
+//! It owns the telling of these to the machine. It must never draw a conclusion of its own.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use oakshed_core::facade::{Ending, Entry, ListKind, Report};
+use oakshed_jobs::machine::End;
+use oakshed_jobs::record::JobId;
+
+use super::super::backends::Told;
+use super::super::Net;
+
+/// A durable job's attempt, by its token.
+#[derive(Clone, Copy)]
+pub(super) struct Attempt(pub(super) JobId, pub(super) u64);
+
+impl Told for Attempt {
+    fn alive(self, net: &Net, started: bool) {
+        let Attempt(id, token) = self;
+        let Some(durable) = &net.durable else { return };
+        let now = net.clock.now();
+        durable.jobs.borrow_mut().on_alive(now, id, token, started, &mut net.facade.borrow_mut());
+        durable.changed.notify_one();
+    }
+
+    fn ended(self, net: &Rc<Net>, ending: Ending, result: Option<Bytes>, load: Option<Report>) {
+        let Attempt(id, token) = self;
+        let Some(durable) = &net.durable else { return };
+        // Its task goes on with what is left of the connection: it is forgotten, not stopped.
+        durable.fetches.borrow_mut().remove(&(id, token));
+        let end = result.map_or(End::Other(ending), |result| End::Result(result.to_vec()));
+        let now = net.clock.now();
+        durable.jobs.borrow_mut().on_ended(now, id, token, end, load, &mut net.facade.borrow_mut());
+        durable.settle(net);
+    }
+}
+
+/// News of the list.
+pub(in super::super) fn list(net: &Rc<Net>, entries: &[Entry], kind: ListKind) {
+    let Some(durable) = &net.durable else { return };
+    let fresh = matches!(kind, ListKind::All | ListKind::Changes);
+    let starts = entries.iter().map(|e| (&e.backend, e.online_since / 1_000));
+    let now = net.clock.now();
+    durable.jobs.borrow_mut().on_list(now, starts, fresh, &mut net.facade.borrow_mut());
+    durable.settle(net);
+}
