Split the jobs' state machine by concern into machine/

It is now mod (the jobs, the pump, the clock's tick), types, job, restore, clients, network, store, attempts and ends, of which the longest has 205 lines. One trait for each concern was left aside: it would make what is private public.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,7 +2,7 @@
 //!
 //! It owns the meaning of each record. A record's form must never change under a version of the file
 //! format: what an older program has written has to be read, or refused by name (log.rs).
-//! Times are microseconds of the logical clock, which goes on over restarts (machine.rs).
+//! Times are microseconds of the logical clock, which goes on over restarts (machine/).
 
 use std::fmt;
 use std::str::FromStr;
