Split the simulated world of the jobs' tests by concern

It is now the world with its events (mod), the scheduler's life and its disk, the faults, the workers, the clients, the laws, and what was seen; the longest has 294 lines. A disk of its own file was left aside: it is two methods of the scheduler's life. Only moves, with pub(super) where another part needs it.

--- /dev/null
+++ b/crates/jobs/tests/world/scheduler.rs
@@ -0,0 +1,294 @@
+//! One life of the scheduler: its start from the disk, its syncs, and what it wants done.
+//!
+//! It owns the shell that the program has around the machine. It must never let out what the machine has
+//! not let out.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::task::Waker;
+
+use oakshed_core::facade::{Ending, Entry, Facade, ListKind, Micros, Seen as Told, Settings};
+use oakshed_core::interface::{Class, Effect as Kind, Scope};
+use oakshed_jobs::fault::Faulty;
+use oakshed_jobs::log::{encode_all, Log, Trouble};
+use oakshed_jobs::machine::{Boot, Effect, End, Jobs, Limits, Names};
+use oakshed_jobs::record::JobId;
+
+use super::workers::{result_of, Connection, Word2};
+use super::{Event, World, DAWN, HOUR, MS, S, WINDOW};
+
+const SEGMENT: usize = 16 << 10;
+
+pub(super) struct Life {
+    pub(super) number: u64,
+    pub(super) facade: Facade,
+    pub(super) jobs: Jobs,
+    pub(super) log: Log<Faulty>,
+    pub(super) skew: i64,
+    pub(super) syncing: Option<(Vec<u8>, Vec<usize>, u64)>,
+    pub(super) failed: bool,
+    pub(super) waiting: HashMap<JobId, Vec<usize>>,
+    pub(super) conns: HashMap<(JobId, u64), u64>,
+    pub(super) tick_at: Micros,
+    /// Who listens where an old list says that a worker does, until a fresh one comes.
+    pub(super) strangers: HashMap<Rc<str>, Option<usize>>,
+}
+
+fn settings() -> Settings {
+    let class = |effect, window| Class {
+        aim: 300 * MS,
+        stretch: 2.0,
+        deadline: 5 * S,
+        worth: 1.0,
+        priority: 0,
+        effect,
+        scope: Scope::All,
+        window,
+        kind: None,
+    };
+    Settings {
+        classes: vec![class(Kind::Unsafe, 0), class(Kind::Keyed, WINDOW)],
+        list_on_request: true,
+        connect_timeout: 100 * MS,
+        ..Settings::default()
+    }
+}
+
+impl World {
+    pub(super) fn start(&mut self) {
+        if self.life.is_some() {
+            return;
+        }
+        let skew = match self.rng.u32(0..4) {
+            0 if self.lives > 0 => {
+                self.seen.note("clock jumped");
+                self.rng.i64(-(HOUR as i64)..HOUR as i64)
+            }
+            _ => 0,
+        };
+        let (log, recovered) = match Log::open(self.disk.clone(), SEGMENT) {
+            Ok(opened) => opened,
+            Err(e) => {
+                if matches!(e, Trouble::Io(..)) {
+                    self.disk.crash(&mut self.rng);
+                    return self.after(50 * MS, Event::Start);
+                }
+                return self.wrong(format!("the log cannot be opened: {e}"));
+            }
+        };
+        if self.loud {
+            recovered.records.iter().for_each(|r| self.say(|| format!("  read {r:?}")));
+        }
+        if recovered.cut.is_some() {
+            self.seen.note("torn");
+        }
+        self.lives += 1;
+        let limits = Limits {
+            leases: self.leases,
+            lease: 400 * MS,
+            keep: 30 * S,
+            open: 50,
+            kept: 200,
+            bytes: 1 << 20,
+        };
+        let names =
+            Names { classes: vec!["transfer".into(), "new-plate".into()], tenants: vec!["owner".into()] };
+        let now = self.now.wrapping_add_signed(skew);
+        let boot = Boot { id: self.boot.0, uptime: self.now - self.boot.1 };
+        let next = log.next();
+        let jobs = Jobs::restore(limits, names, recovered.records, next, now, boot);
+        let facade = Facade::new(settings(), self.rng.u64(..)).expect("usable settings");
+        self.life = Some(Life {
+            number: self.lives,
+            facade,
+            jobs,
+            log,
+            skew,
+            syncing: None,
+            failed: false,
+            waiting: HashMap::new(),
+            conns: HashMap::new(),
+            tick_at: Micros::MAX,
+            strangers: HashMap::new(),
+        });
+        let old = self.chance(500);
+        if old {
+            self.old_list();
+        } else {
+            self.list(ListKind::Remembered);
+        }
+        // A watch from the remembered number is held until something changes.
+        let wait = if old { self.rng.u64(0..3 * S) } else { self.delay() };
+        self.after(wait, Event::List);
+        self.after(0, Event::Tick(self.lives));
+    }
+
+    /// Who listens where the scheduler thinks that this worker does.
+    fn at(&self, worker: &str) -> Option<usize> {
+        let strangers = self.life.as_ref().map(|l| &l.strangers);
+        let listed = || self.workers.iter().position(|w| *w.name == *worker);
+        strangers.and_then(|s| s.get(worker).copied()).unwrap_or_else(listed)
+    }
+
+    pub(super) fn list(&mut self, kind: ListKind) {
+        let rows: Vec<(Entry, u64)> = self
+            .workers
+            .iter()
+            .map(|w| {
+                let ms = w.start / MS;
+                let shown = if self.long_ago && w.start < DAWN { 0 } else { ms };
+                let entry = Entry {
+                    backend: w.name.clone(),
+                    zone: 0,
+                    kind: 0,
+                    cell: 0,
+                    condition: w.listed,
+                    online_since: 0,
+                };
+                (entry, shown)
+            })
+            .collect();
+        self.with(|l, now| {
+            let entries: Vec<Entry> = rows.iter().map(|r| r.0.clone()).collect();
+            l.facade.report(now, Told::List(kind, &entries));
+            let starts = rows.iter().map(|r| (&r.0.backend, r.1));
+            l.strangers.clear();
+            l.jobs.on_list(now, starts, kind != ListKind::Remembered, &mut l.facade);
+        });
+    }
+
+    pub(super) fn tick(&mut self, life: u64) {
+        let now = self.now;
+        if let Some(l) =
+            self.life.as_mut().filter(|l| l.number == life && l.tick_at <= now || l.tick_at == Micros::MAX)
+        {
+            l.tick_at = Micros::MAX;
+        }
+    }
+
+    /// Carries out what the machine wants, and begins a sync where there is something to write.
+    pub(super) fn settle(&mut self) {
+        for _ in 0..1_000 {
+            let Some(l) = &mut self.life else { return };
+            let now = self.now.wrapping_add_signed(l.skew);
+            let due = l.facade.tick(now, Waker::noop());
+            let next = l.jobs.tick(now, &mut l.facade, Waker::noop());
+            let at = [due.next, next].into_iter().flatten().min();
+            if let Some(effect) = l.jobs.effect() {
+                self.carry_out(effect);
+                continue;
+            }
+            if l.syncing.is_none() && !l.failed {
+                let (first, records) = l.jobs.records();
+                if !records.is_empty() {
+                    let (bytes, lengths) = encode_all(first, first - 1, &records);
+                    let last = first + records.len() as u64 - 1;
+                    l.syncing = Some((bytes, lengths, last));
+                    let number = l.number;
+                    let wait = self.rng.u64(200..8 * MS);
+                    self.after(wait, Event::Synced(number));
+                    continue;
+                }
+            }
+            if let Some(at) = at {
+                let at = at.max(now + 1).wrapping_add_signed(-l.skew);
+                if at < l.tick_at {
+                    l.tick_at = at;
+                    let number = l.number;
+                    let span = at - self.now;
+                    self.after(span, Event::Tick(number));
+                }
+            }
+            return;
+        }
+        self.wrong("it never comes to rest".into());
+    }
+
+    pub(super) fn synced(&mut self, life: u64) {
+        let Some(l) = self.life.as_mut().filter(|l| l.number == life) else { return };
+        let Some((bytes, lengths, last)) = l.syncing.take() else { return };
+        let now = self.now.wrapping_add_signed(l.skew);
+        match l.log.append(&bytes, &lengths) {
+            Ok(()) => l.jobs.on_synced(now, last, &mut l.facade),
+            Err(_) if self.disk.has_stopped() => self.handle(Event::Kill { boot: false }),
+            Err(_) => {
+                l.failed = true;
+                l.jobs.on_failed(now);
+                self.seen.note("sync failed");
+                let wait = self.rng.u64(1..2 * S);
+                self.after(wait, Event::Kill { boot: false });
+            }
+        }
+        let Some(l) = self.life.as_mut() else { return };
+        let room = l.log.make_spare();
+        l.jobs.set_full(!room);
+        if !room {
+            self.seen.note("disk full");
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        self.say(|| format!("  {effect:?}"));
+        match effect {
+            Effect::Accepted(id) => self.answer_waiting(id, None),
+            Effect::Answer(id, answer) => self.answer_waiting(id, Some(answer)),
+            Effect::Trim(low) => {
+                let trimmed = self.life.as_mut().map(|l| l.log.trim(low));
+                if matches!(trimmed, Some(Ok(1..))) {
+                    self.seen.note("trimmed");
+                }
+                if matches!(trimmed, Some(Err(_))) && self.disk.has_stopped() {
+                    self.handle(Event::Kill { boot: false });
+                }
+            }
+            Effect::Fetch { id, token, worker, until, order } => {
+                let class = usize::from(order.class != "transfer");
+                let Some(w) = self.at(&worker) else {
+                    let conn = self.conns.len() as u64;
+                    self.conns.push(Connection {
+                        worker: 0,
+                        worker_life: 0,
+                        open: true,
+                        deaf: false,
+                        last: 0,
+                    });
+                    if let Some(l) = &mut self.life {
+                        l.conns.insert((id, token), conn);
+                    }
+                    let wait = self.delay();
+                    let word = Word2::End(End::Other(Ending::DialFailed));
+                    return self.after(wait, Event::Says { conn, id, token, word });
+                };
+                if self.workers[w].name != worker {
+                    self.seen.note("sent to a stranger");
+                }
+                self.fetch(id, token, w, until, class);
+            }
+            Effect::Stop { id, token } => {
+                let conn = self.life.as_mut().and_then(|l| l.conns.remove(&(id, token)));
+                conn.into_iter().for_each(|c| self.conns[c as usize].open = false);
+            }
+            Effect::Fence { id, token, worker, sure } => {
+                let life = self.lives;
+                let w = self.at(&worker).filter(|_| !self.chance(150));
+                let Some(w) = w else {
+                    let wait = self.delay() + 100 * MS;
+                    return self.after(wait, Event::FenceSays { life, id, token, word: None, sure });
+                };
+                if self.workers[w].name != worker {
+                    self.seen.note("stranger asked");
+                }
+                // Some arrive twice.
+                for _ in 0..1 + usize::from(self.chance(50)) {
+                    let (wait, worker_life) = (self.delay(), self.workers[w].life);
+                    self.after(wait, Event::FenceArrives { life, worker: w, worker_life, id, token, sure });
+                }
+            }
+            Effect::Safe { id, worker, .. } => {
+                if let Some(w) = self.at(&worker).filter(|_| !self.chance(100)) {
+                    self.workers[w].known.entry(id).or_default().result = Some(result_of(id));
+                }
+            }
+        }
+    }
+}
