--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,7 @@
 //! What is written of a job, and the names of jobs.
 //!
 //! It owns the meaning of each record. A record's form must never change under a version of the file
-//! format: what an older program has written has to be read, or refused by name (log.rs).
+//! format: what an older program has written has to be read, or refused by name (log/).
 //! Times are microseconds of the logical clock, which goes on over restarts (machine/).
 
 use std::fmt;
