--- /dev/null
+++ b/crates/core/src/state/list.rs
@@ -0,0 +1,152 @@
+//! The list of workers: who is in it, whom it groups, and the pools and the ring that picks draw from.
+//!
+//! It owns the workers' places and their forgetting. It must never drop one of which anything is still
+//! out, nor lift a ban.
+
+use super::{Dispatcher, Request, Worker};
+use crate::figures::Members;
+use crate::interface::*;
+
+/// Places on the ring for each worker: with one each, some would be home to five times their share.
+const RING_PLACES: u64 = 32;
+
+/// Workers that are gone are remembered up to this number beside the active ones.
+pub(super) const GONE_KEPT: usize = 4_096;
+
+impl Dispatcher {
+    /// Where a keyed request that may have run must stay: the scope, and a worker in the group.
+    pub(crate) fn group_of(&self, r: &Request) -> Option<(Scope, usize)> {
+        let c = &self.settings.classes[r.class];
+        let first = r.attempts.iter().find(|a| a.may_have_run)?;
+        (c.effect == Effect::Keyed).then_some((c.scope, first.worker))
+    }
+
+    /// Whether two workers drop repeats of the same keyed request. Two zones that the settings don't
+    /// know have the same number, and may be two.
+    pub(crate) fn same_group(&self, scope: Scope, a: usize, b: usize) -> bool {
+        let (a, b) = (&self.workers[a], &self.workers[b]);
+        let same_zone = a.zone == b.zone && a.zone != UNKNOWN;
+        match scope {
+            Scope::All => true,
+            Scope::Zone => same_zone,
+            Scope::Cell => same_zone && a.cell == b.cell,
+        }
+    }
+
+    /// Enters a row of the list; tells the worker's place and whether it has started anew.
+    pub(crate) fn enter(&mut self, row: &Row) -> (usize, bool) {
+        let w = *self.index.entry(row.worker).or_insert(self.workers.len());
+        if w == self.workers.len() {
+            self.workers.push(Worker { id: Some(row.worker), pace: 1.0, ..Worker::default() });
+        }
+        let worker = &mut self.workers[w];
+        (worker.zone, worker.kind, worker.cell) = (row.zone, row.kind, row.cell);
+        worker.active = row.condition == Condition::Active;
+        worker.listed = row.condition != Condition::Left;
+        let restarted = worker.online_since != row.online_since;
+        worker.online_since = row.online_since;
+        if restarted {
+            // What was believed of it is void.
+            worker.heard = None;
+            worker.trials = 0;
+            worker.shun_until = 0;
+            (worker.wait, worker.errors, worker.turned_away) = (0.0, 0, 0);
+            worker.budget_at = self.now;
+        }
+        if let Some((until, trials)) = self.told_to_shun.remove(&row.worker) {
+            (worker.shun_until, worker.trials) = (until, trials);
+        }
+        (w, restarted)
+    }
+
+    /// Where on the ring a key's workers begin; all dispatchers with the same list agree. The ring is
+    /// made when first asked for after a change of the list.
+    pub(crate) fn home(&mut self, key: u64) -> usize {
+        if self.ring.is_empty() {
+            let id = |w: usize| self.workers[w].id.map_or(0, |id| id.0);
+            let places = |&w: &usize| (0..RING_PLACES).map(move |n| (mix(id(w).wrapping_add(mix(n))), w));
+            self.ring = self.live.iter().flat_map(places).collect();
+            self.ring.sort_unstable();
+        }
+        self.ring.partition_point(|place| place.0 < mix(key))
+    }
+
+    /// The share of its capacity that a worker surely has: 1 once it is warm.
+    pub(crate) fn warm_share(&self, w: usize) -> f64 {
+        let (s, since) = (&self.settings, self.workers[w].online_since);
+        if since == 0 || self.since(since) >= s.ramp as f64 {
+            return 1.0;
+        }
+        s.cold_share + (1.0 - s.cold_share) * self.since(since) / s.ramp as f64
+    }
+
+    /// Whether a worker is remembered: an active one always is.
+    pub fn knows(&self, worker: WorkerId) -> bool {
+        self.index.contains_key(&worker)
+    }
+
+    /// Whether a worker is active, and not taken out by hand.
+    pub(crate) fn usable(&self, w: usize) -> bool {
+        self.workers[w].active && self.workers[w].id.is_some_and(|id| !self.banned.contains(&id))
+    }
+
+    /// Whether operators have taken a worker out.
+    pub fn is_banned(&self, worker: WorkerId) -> bool {
+        self.banned.contains(&worker)
+    }
+
+    /// Whether anything may go there now, whatever the job: what the pick asks, and what operators are told.
+    pub(crate) fn available(&self, w: usize) -> bool {
+        self.usable(w) && self.now >= self.workers[w].shun_until
+    }
+
+    /// The workers in the list, and how many of them get nothing now.
+    pub fn members(&self) -> Members {
+        let listed = || (0..self.workers.len()).filter(|&w| self.workers[w].listed);
+        let unavailable = listed().filter(|&w| !self.available(w)).count();
+        Members { listed: listed().count(), unavailable }
+    }
+
+    /// Forgets workers that are gone and of which nothing is known that counts, where they have become
+    /// many. Guards against a fleet whose machines are replaced for months, each with a new id.
+    fn forget_gone(&mut self) {
+        let active = self.workers.iter().filter(|w| w.active).count();
+        if self.workers.len() <= 2 * active + GONE_KEPT {
+            return;
+        }
+        let mut kept: Vec<bool> = self.workers.iter().map(|w| w.active).collect();
+        self.requests.values().flat_map(|r| &r.attempts).for_each(|a| kept[a.worker] = true);
+        let mut place = vec![None; kept.len()];
+        for (w, worker) in std::mem::take(&mut self.workers).into_iter().enumerate().filter(|(w, _)| kept[*w])
+        {
+            place[w] = Some(self.workers.len());
+            self.workers.push(worker);
+        }
+        let moved = |w: &mut usize| place[*w].inspect(|to| *w = *to).is_some();
+        self.index.retain(|_, w| moved(w));
+        self.watched.retain_mut(|(_, w)| moved(w));
+        let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
+        attempts.for_each(|a| _ = moved(&mut a.worker));
+    }
+
+    /// Sorts the active workers into the pools that picks draw from.
+    pub(crate) fn refill_pools(&mut self) {
+        self.forget_gone();
+        self.live = (0..self.workers.len()).filter(|&w| self.usable(w)).collect();
+        let near = |w: &usize| self.workers[*w].zone == self.settings.zone;
+        self.near = self.live.iter().copied().filter(near).collect();
+        self.warmth = self.live.iter().map(|&w| self.warm_share(w)).sum();
+        self.live_by_kind.clear();
+        for &w in &self.live {
+            self.live_by_kind.entry(self.workers[w].kind).or_default().push(w);
+        }
+        self.ring.clear();
+    }
+}
+
+/// Scatters a number; the same everywhere (the finaliser of MurmurHash3).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
--- /dev/null
+++ b/crates/core/src/state/processes.rs
@@ -0,0 +1,51 @@
+//! What one process of a scheduler passes on to the next, and what they share while both live.
+//!
+//! It owns the forms in which that leaves and comes in. It must never take in a figure that is none.
+
+use super::list::GONE_KEPT;
+use super::settings::LONGEST;
+use super::Dispatcher;
+use crate::interface::*;
+
+impl Dispatcher {
+    /// So many processes of this scheduler live, this one included.
+    pub fn share(&mut self, processes: usize) {
+        self.sharers = processes.saturating_sub(1);
+    }
+
+    /// What was learned that the next process of this scheduler should know: the cap, the mean running
+    /// time, and of each class its running time, its work and of how many jobs.
+    pub fn learned(&self) -> (f64, f64, Vec<[f64; 3]>) {
+        (self.cap, self.mean_run, self.classes.iter().map(|c| [c.run, c.work, c.served]).collect())
+    }
+
+    /// Takes that in. What is no figure, or of other classes, is left out.
+    pub fn learn(&mut self, cap: f64, mean_run: f64, classes: &[[f64; 3]]) {
+        let sound = |x: f64| (1e-3..LONGEST as f64).contains(&x);
+        if sound(cap) {
+            self.cap = cap;
+        }
+        if classes.len() != self.classes.len()
+            || !sound(mean_run)
+            || !classes.iter().flatten().all(|x| sound(*x))
+        {
+            return;
+        }
+        self.mean_run = mean_run;
+        for (class, [run, work, served]) in self.classes.iter_mut().zip(classes) {
+            (class.run, class.work, class.served) = (*run, *work, *served);
+        }
+    }
+
+    /// Until when a worker is avoided, and after how many trials.
+    pub fn shunned(&self, worker: WorkerId) -> Option<(Micros, u32)> {
+        self.index.get(&worker).map(|w| (self.workers[*w].shun_until, self.workers[*w].trials))
+    }
+
+    /// Avoids a worker, once it is listed, on another process's word.
+    pub fn shun_for(&mut self, worker: WorkerId, until: Micros, trials: u32) {
+        if self.told_to_shun.len() < GONE_KEPT {
+            self.told_to_shun.insert(worker, (until, trials));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/worker.rs
@@ -0,0 +1,115 @@
+//! One worker as a dispatcher sees it: what is out there, and what was heard of it.
+//!
+//! It owns a worker's record and the counts of slots there, with their sums over all workers. It must
+//! never judge a worker: whether one is silent or full is the decisions' to say.
+
+use super::Dispatcher;
+use crate::interface::*;
+
+/// One worker as this dispatcher sees it.
+#[derive(Default)]
+pub(crate) struct Worker {
+    pub id: Option<WorkerId>,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    /// In the list, whatever its state; its process runs and wants jobs.
+    pub listed: bool,
+    pub active: bool,
+    pub online_since: Micros,
+    /// Own outstanding slots, and the same smoothed over the age of a report.
+    pub out: f64,
+    pub lagged_out: f64,
+    pub lagged_at: Micros,
+    /// Of these, slots that are not counted against the cap, as the worker is silent.
+    pub aside: f64,
+    /// Own attempts without an outcome: all, and how many count; those not known to have started.
+    pub attempts: Vec<(RequestId, usize)>,
+    pub open: u32,
+    pub unstarted: u32,
+    pub last_sent: Micros,
+    /// The last report as it came, and when.
+    pub report: Report,
+    pub reported_at: Micros,
+    /// Free slots kept up with own sends, the memory reported, and how old that is.
+    pub free: f64,
+    pub memory: Option<f64>,
+    pub heard: Option<Micros>,
+    /// Rounds expected free slots up or down; drawn anew with each piece of news.
+    pub dither: f64,
+    /// Running time against the class's mean.
+    pub pace: f64,
+    pub paced_at: Micros,
+    /// How long own jobs waited there to start, lately, and since when that is known.
+    pub wait: f64,
+    pub waited_at: Micros,
+    /// Errors, and jobs turned away, in a row: nothing was served, or started, in between.
+    pub errors: u32,
+    pub turned_away: u32,
+    /// Since when own jobs are without news, trials since, and no sends before.
+    pub quiet_since: Micros,
+    pub watched: bool,
+    pub trials: u32,
+    pub shun_until: Micros,
+    /// Cold budget in slot-microseconds.
+    pub budget: f64,
+    pub budget_at: Micros,
+    /// Until when an idle connection is held.
+    pub idle_until: Micros,
+}
+
+impl Dispatcher {
+    /// The next worker with own jobs that was not looked at for a span.
+    pub(crate) fn next_to_watch(&mut self, span: f64) -> Option<usize> {
+        loop {
+            let (_, w) = *self.watched.front().filter(|look| self.since(look.0) >= span.max(1.0))?;
+            self.watched.pop_front();
+            if self.workers[w].open > 0 {
+                self.watched.push_back((self.now, w));
+                return Some(w);
+            }
+            self.workers[w].watched = false;
+        }
+    }
+
+    /// Leaves the own slots at a silent worker out of the cap's count.
+    pub(crate) fn set_aside(&mut self, w: usize) {
+        self.count_again(w);
+        self.workers[w].aside = self.workers[w].out;
+        self.aside += self.workers[w].aside;
+    }
+
+    /// Counts them again, as there is news of the worker.
+    pub(crate) fn count_again(&mut self, w: usize) {
+        self.aside = (self.aside - std::mem::take(&mut self.workers[w].aside)).max(0.0);
+    }
+
+    /// Own outstanding slots there change by `by`; known free slots go the other way.
+    pub(super) fn occupy(&mut self, w: usize, by: f64) {
+        let keep = (-self.since(self.workers[w].lagged_at) / self.report_lag().max(1.0)).exp();
+        let worker = &mut self.workers[w];
+        worker.lagged_out += (worker.out - worker.lagged_out) * (1.0 - keep);
+        worker.lagged_at = self.now;
+        worker.out = (worker.out + by).max(0.0);
+        worker.free -= by;
+        let ended = worker.aside.min((-by).max(0.0));
+        worker.aside -= ended;
+        self.aside = (self.aside - ended).max(0.0);
+        self.out = (self.out + by).max(0.0);
+    }
+
+    /// Keeps a report, and count of how often a worker's report changes; tells whether it is the
+    /// one that came last.
+    pub(crate) fn seen_before(&mut self, w: usize, report: &Report) -> bool {
+        let gap = self.since(self.workers[w].reported_at);
+        let worker = &mut self.workers[w];
+        let same = worker.report == *report;
+        if worker.reported_at > 0 && gap < self.mean_run {
+            self.report_spans += 0.05 * (gap - self.report_spans);
+            self.report_changes += 0.05 * (f64::from(u8::from(!same)) - self.report_changes);
+        }
+        worker.reported_at = self.now;
+        worker.report = *report;
+        same
+    }
+}
