Split the interface's settings off, and the mechanism's tests by concern

The settings are in interface/settings.rs now, re-exported by name, so that oakshed_core::interface keeps all its paths.

--- /dev/null
+++ b/crates/core/src/interface/settings.rs
@@ -0,0 +1,164 @@
+//! What a dispatcher is told at its start: classes, limits, and what the world around it can do.
+//!
+//! It owns the settings' forms and defaults. It must never check them, nor know an event or an action.
+
+use super::Micros;
+
+/// Whether a request's effect may happen more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May be repeated anywhere.
+    Safe,
+    /// A group of workers drops repeats for a while.
+    Keyed,
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// Which workers share the memory of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All workers.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// An answer within this (plus `stretch` times the job's own work) earns its worth.
+    pub aim: Micros,
+    /// Multiple of the job's own work that is added to the aim.
+    pub stretch: f64,
+    /// How long a client waits over all its tries.
+    pub deadline: Micros,
+    /// What one request is worth.
+    pub worth: f64,
+    /// Priority among classes of equal worth.
+    pub priority: i64,
+    /// Whether it may run twice.
+    pub effect: Effect,
+    /// For keyed classes: who drops repeats.
+    pub scope: Scope,
+    /// For keyed classes: for how long from the first send.
+    pub window: Micros,
+    /// The one machine kind that runs it, or any.
+    pub kind: Option<u32>,
+}
+
+/// Where load reports come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// Inside answers (and probe results).
+    Answers,
+    /// Inside probe results only.
+    Probe,
+    /// Nowhere.
+    None,
+}
+
+/// Everything a dispatcher is told at start. The default is one dispatcher with a pushed list,
+/// no reports and no classes yet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many dispatchers share the fleet, this one included.
+    pub dispatchers: u32,
+    /// The zone of this dispatcher.
+    pub zone: u32,
+    /// The classes, by index.
+    pub classes: Vec<Class>,
+    /// Requests a second within each tenant's share, over all dispatchers; what a tenant sends
+    /// beyond is worth little. Empty: no tenants.
+    pub tenants: Vec<f64>,
+    /// The list is given only when asked for.
+    pub list_on_request: bool,
+    /// Without a subscription, a dispatcher must ask this often.
+    pub ask_every: Micros,
+    /// Workers tell when a job starts.
+    pub tells_start: bool,
+    /// Workers start waiting jobs strictly in the order in which these came.
+    pub in_order: bool,
+    /// How often workers tell a job's progress; 0: never.
+    pub progress_every: Micros,
+    /// Where load reports come from.
+    pub reports: Reports,
+    /// Probes are allowed.
+    pub may_probe: bool,
+    /// Attempts may be cancelled.
+    pub may_cancel: bool,
+    /// Refusals may carry a retry-after.
+    pub retry_after: bool,
+    /// The longest retry-after that clients honour.
+    pub max_retry_after: Micros,
+    /// Attempts allowed for one request.
+    pub max_attempts: u32,
+    /// An idle connection closes after this.
+    pub idle_close: Micros,
+    /// A connection not up after this is a failed dial.
+    pub connect_timeout: Micros,
+    /// The price of a new connection, in parts of the result for each request; 0: free.
+    pub handshake_price: f64,
+    /// The price of an attempt that crosses zones, in parts of the result for each request; 0: free.
+    pub cross_price: f64,
+    /// Least time between batches.
+    pub tick: Micros,
+    /// A cold worker starts at this share of its capacity or more.
+    pub cold_share: f64,
+    /// A cold worker is warm after this at the latest.
+    pub ramp: Micros,
+    /// A cold worker falls over when sent more than this multiple of its present capacity.
+    pub fall_multiple: f64,
+    /// The span over which that multiple is counted.
+    pub fall_span: Micros,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            dispatchers: 1,
+            zone: 0,
+            classes: Vec::new(),
+            tenants: Vec::new(),
+            list_on_request: false,
+            ask_every: 10_000_000,
+            tells_start: true,
+            in_order: false,
+            progress_every: 0,
+            reports: Reports::None,
+            may_probe: false,
+            may_cancel: true,
+            retry_after: true,
+            max_retry_after: 2_000_000,
+            max_attempts: 6,
+            idle_close: 60_000_000,
+            connect_timeout: 120_000,
+            handshake_price: 0.0,
+            cross_price: 0.0,
+            tick: 2_000,
+            cold_share: 0.3,
+            ramp: 10_000_000,
+            fall_multiple: 3.0,
+            fall_span: 3_000_000,
+        }
+    }
+}
+
+/// Why settings could not be used: the name of the setting and what is wrong with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The setting.
+    pub name: &'static str,
+    /// What is wrong.
+    pub why: &'static str,
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "setting '{}' cannot be used: {}", self.name, self.why)
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/core/tests/mechanism/cold.rs
@@ -0,0 +1,122 @@
+//! Workers that have just started: what all dispatchers together may send them.
+//!
+//! It owns the tests of the cold budget. It must never let a worker warm by anything but time.
+
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
+
+use crate::common::*;
+
+#[test]
+fn many_dispatchers_together_keep_a_cold_workers_budget() {
+    // 60 dispatchers, each seeing a job or so a second; worker 0 has just started.
+    let dispatchers = 60;
+    let cold_settings = Settings { dispatchers, cold_share: 0.2, ..settings() };
+    let mut sent_cold = 0;
+    for seed in 0..dispatchers {
+        let mut d = Dispatcher::new(cold_settings.clone(), u64::from(seed)).expect("usable");
+        let mut rows: Vec<Row> = (0..10).map(row).collect();
+        rows[0].online_since = START;
+        d.on_event(START, Event::List { kind: ListKind::Remembered, rows: &rows });
+        for n in 0..3u32 {
+            let now = START + u64::from(n) * 1_000 * MS;
+            let id = RequestId(u128::from(n));
+            d.on_event(
+                now,
+                Event::Request {
+                    id,
+                    class: 1,
+                    tenant: 0,
+                    slots: 1.0,
+                    memory: 0.0,
+                    key: None,
+                    hint: None,
+                    remaining: 5_000 * MS,
+                    earlier: &[],
+                },
+            );
+            let mut actions = Vec::new();
+            d.dispatch(now, &mut actions);
+            sent_cold += u32::from(sent(&actions, id) == Some(WorkerId(0)));
+        }
+    }
+    // 180 jobs over 10 workers are 18 each; a cold one may have the multiple of its fifth.
+    assert!(sent_cold < 12, "{sent_cold} jobs went to the cold worker");
+}
+
+/// Guards against dispatchers that have all just started, and send successors next to nothing for seconds: the
+/// work that they have seen done is that of the time since, not of a span of which they saw the end.
+#[test]
+fn a_fresh_dispatcher_soon_counts_on_the_work_it_sees_done() {
+    let to_cold = |busy: u64| {
+        let mut sent_cold = 0;
+        for seed in 0..30 {
+            let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
+            let mut bench = Bench::seeded(cold, 20, seed);
+            let mut rows: Vec<Row> = (0..20).map(row).collect();
+            for n in 0..busy + 20 {
+                if n == busy {
+                    rows[..10].iter_mut().for_each(|row| row.online_since = bench.now);
+                    bench.event(Event::List { kind: ListKind::Changes, rows: &rows[..10] });
+                }
+                let (id, actions) = bench.request(1);
+                sent_cold += u32::from(n >= busy && sent(&actions, id).is_some_and(|w| w.0 < 10));
+                bench.started(id, 0);
+                bench.now += 100 * MS;
+                bench.settled(id, 0, Ending::Delivered);
+            }
+        }
+        sent_cold
+    };
+    let (fresh, old) = (to_cold(10), to_cold(200));
+    assert!(3 * fresh > old, "{fresh} jobs to cold workers, {old} by dispatchers that have seen a lot");
+}
+
+/// Guards against a cold worker pushed over by a fleet that is too full: jobs that waited counted as work that
+/// a worker can do, and with four of five waiting a cold one was sent several times its part.
+#[test]
+fn what_waits_in_a_full_fleet_is_no_part_of_a_cold_workers_budget() {
+    let to_cold = |cold_ones: usize, waits: Micros| {
+        let mut sent_cold = 0;
+        for seed in 0..30 {
+            let cold = Settings { dispatchers: 30, cold_share: 0.2, ..settings() };
+            let mut bench = Bench::seeded(cold, 40, seed);
+            let mut rows: Vec<Row> = (0..40).map(row).collect();
+            let mut out = std::collections::VecDeque::new();
+            for n in 0..1_000u64 {
+                bench.now += 10 * MS;
+                if n == 800 {
+                    rows[..cold_ones].iter_mut().for_each(|row| row.online_since = bench.now);
+                    bench.event(Event::List { kind: ListKind::Changes, rows: &rows[..cold_ones] });
+                }
+                let (id, actions) = bench.request(1);
+                if let Some(worker) = sent(&actions, id) {
+                    sent_cold += u32::from(n >= 800 && worker.0 < cold_ones as u64);
+                    out.push_back((bench.now + waits, bench.now + waits + 100 * MS, id));
+                }
+                out.iter()
+                    .filter(|o| o.0 == bench.now)
+                    .map(|o| o.2)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|id| {
+                        bench.started(id, 0);
+                    });
+                while out.front().is_some_and(|o| o.1 <= bench.now) {
+                    let (_, _, id) = out.pop_front().expect("seen");
+                    bench.settled(id, 0, Ending::Delivered);
+                }
+            }
+        }
+        sent_cold
+    };
+    let (prompt, late) = (to_cold(1, 0), to_cold(1, 300 * MS));
+    assert!(late <= 2 * prompt, "{late} jobs went to the cold worker, {prompt} where none waits");
+    // A warm worker has 150 jobs in these two seconds, at six tenths of what it can do: a cold one surely does
+    // 0.28 of that, 70, and falls over, where a warm one is full with 150, at three times as much as 42. Also
+    // where six in ten are cold at once, which leaves the others to do the work of all.
+    for (cold_ones, jobs) in [(1, prompt), (24, to_cold(24, 0))] {
+        let each = f64::from(jobs) / cold_ones as f64;
+        assert!((70.0..=120.0).contains(&each), "{each} jobs to each of {cold_ones} cold workers");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/mechanism/failing.rs
@@ -0,0 +1,121 @@
+//! Workers that are full, err, or cannot be reached, and outages of many.
+//!
+//! It owns the tests of failing workers. It must never let the list tell of a failure.
+
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
+
+use crate::common::*;
+
+#[test]
+fn a_full_worker_is_left_alone_for_a_while_where_no_reports_come() {
+    // Guards against believing in many free slots there: a full worker was tried again at once.
+    let mut waited = 0;
+    for _ in 0..20 {
+        let mut bench = Bench::new(settings(), 1);
+        bench.dispatcher = Dispatcher::new(settings(), waited).expect("usable settings");
+        bench.event(Event::List { kind: ListKind::Remembered, rows: &[row(0)] });
+        let (id, actions) = bench.request(0);
+        assert!(sent(&actions, id).is_some());
+        bench.settled(id, 0, Ending::Shed);
+        let (id, mut actions) = bench.request(0);
+        let start = bench.now;
+        while sent(&actions, id).is_none() && bench.now < start + 400 * MS {
+            actions = bench.wait(2 * MS);
+        }
+        waited += bench.now - start;
+    }
+    assert!(waited > 20 * 35 * MS, "{} ms on average", waited / 20 / MS);
+}
+
+/// Guards against a worker whose jobs end in errors at once: it looks free and quick, and drew a fifth of all.
+#[test]
+fn a_worker_that_only_errs_is_left_alone_and_one_error_is_forgiven() {
+    let sends = |errs: &dyn Fn(u32) -> bool| {
+        let mut bench = Bench::new(settings(), 4);
+        let (mut bad, mut nth) = (0, 0);
+        for _ in 0..200 {
+            let (id, actions) = bench.request(1);
+            bench.now += MS;
+            let Some(worker) = sent(&actions, id) else { continue };
+            bench.started(id, 0);
+            if worker == WorkerId(0) {
+                bad += 1;
+                nth += 1;
+                bench.now += MS;
+                bench.settled(id, 0, if errs(nth) { Ending::Error } else { Ending::Delivered });
+            } else {
+                bench.now += 100 * MS;
+                bench.settled(id, 0, Ending::Delivered);
+            }
+        }
+        bad
+    };
+    let (always, seldom) = (sends(&|_| true), sends(&|n| n % 5 == 0));
+    assert!(always < 25, "{always} of 200");
+    assert!(seldom > 30, "{seldom} of 200");
+}
+
+/// Guards against meeting each worker of a lost zone: hundreds of schedulers meet one some times a minute. Also
+/// where dials are refused at once: that was taken for a prompt start.
+#[test]
+fn a_zone_is_left_when_some_of_its_workers_cannot_be_reached() {
+    let tries = |refused_after: Micros| {
+        let mut bench = Bench::new(Settings { cross_price: 0.03, dispatchers: 300, ..settings() }, 0);
+        let rows: Vec<Row> = (0..120).map(|w| Row { zone: w % 2, ..row(w) }).collect();
+        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+        bench.serve(0, 30, 100 * MS);
+        let mut home = 0;
+        for _ in 0..40 {
+            let (id, actions) = bench.request(0);
+            let mut at = sent(&actions, id);
+            for attempt in 0..4 {
+                let Some(worker) = at else { break };
+                if worker.0 % 2 == 1 {
+                    bench.started(id, attempt);
+                    bench.now += 100 * MS;
+                    bench.settled(id, attempt, Ending::Delivered);
+                    break;
+                }
+                home += 1;
+                bench.now += refused_after;
+                at = sent(&bench.settled(id, attempt, Ending::DialFailed), id);
+            }
+        }
+        home
+    };
+    let (silent, refused) = (tries(200 * MS), tries(0));
+    assert!(silent < 60 && refused < 30, "{silent} and {refused} tries at a zone that is lost");
+}
+
+/// Guards against an outage that grows by what is sent again: half of the workers refuse at once, or reset what
+/// they took, and the list does not tell. Over all dispatchers, each of which meets a worker seldom.
+#[test]
+fn what_is_sent_again_in_an_outage_is_a_share_of_what_comes() {
+    for (ending, most) in [(Ending::DialFailed, 1.45), (Ending::Dropped, 1.25)] {
+        let (mut sends, mut reqs) = (0, 0);
+        for seed in 0..50 {
+            let mut bench = Bench::seeded(Settings { dispatchers: 50, ..settings() }, 60, seed);
+            bench.serve(0, 10, 100 * MS);
+            for n in 0..100u32 {
+                let (id, actions) = bench.request(n % 2);
+                let (mut at, mut attempt) = (sent(&actions, id), 0);
+                reqs += 1;
+                while let Some(worker) = at {
+                    sends += 1;
+                    if worker.0 < 30 {
+                        at = sent(&bench.settled(id, attempt, ending), id);
+                        attempt += 1;
+                        continue;
+                    }
+                    bench.started(id, attempt);
+                    bench.now += 100 * MS;
+                    bench.settled(id, attempt, Ending::Delivered);
+                    break;
+                }
+            }
+        }
+        let each = f64::from(sends) / f64::from(reqs);
+        assert!(each > 1.0 && each < most, "{each} sends for each of {reqs} reqs where {ending:?}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/mechanism/list.rs
@@ -0,0 +1,121 @@
+//! The list of workers: drains, calls that are refused, a slow director, and workers long gone.
+//!
+//! It owns the tests of the list. It must never ask a director: the list comes as events.
+
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
+
+use crate::common::*;
+
+#[test]
+fn nothing_goes_to_a_worker_told_to_drain() {
+    let mut bench = Bench::new(settings(), 2);
+    let leaving = Row { condition: Condition::Leaving, ..row(0) };
+    bench.event(Event::List { kind: ListKind::Changes, rows: &[leaving] });
+    for _ in 0..8 {
+        let (id, actions) = bench.request(0);
+        assert_ne!(sent(&actions, id), Some(WorkerId(0)));
+    }
+    // Absent from a complete list is gone, too.
+    bench.event(Event::List { kind: ListKind::All, rows: &[row(2)] });
+    for _ in 0..8 {
+        let (id, actions) = bench.request(0);
+        assert!(matches!(sent(&actions, id), Some(WorkerId(2)) | None));
+    }
+}
+
+/// Guards against calls that chase each other at a director that is down, where the settings say nothing of
+/// how often to ask: the list is pushed on the simulator's wire, and still watched on sockets.
+#[test]
+fn a_list_that_is_refused_at_once_is_not_asked_for_without_pause() {
+    let mut bench = Bench::new(Settings { ask_every: 0, ..settings() }, 3);
+    bench.event(Event::List { kind: ListKind::Refused, rows: &[] });
+    let mut asked = 0;
+    for _ in 0..1_000 {
+        if bench.wait(MS).contains(&Action::Subscribe) {
+            asked += 1;
+            bench.event(Event::List { kind: ListKind::Refused, rows: &[] });
+        }
+    }
+    assert!((10..=100).contains(&asked), "{asked} calls in a second");
+}
+
+#[test]
+fn a_refused_subscription_is_asked_for_again_and_the_list_kept() {
+    let mut bench = Bench::new(Settings { list_on_request: true, ..settings() }, 3);
+    assert!(bench.actions.contains(&Action::Subscribe));
+    bench.event(Event::List { kind: ListKind::Refused, rows: &[] });
+    let mut asked = 0;
+    for _ in 0..100 {
+        asked += bench.wait(10 * MS).iter().filter(|a| **a == Action::Subscribe).count();
+    }
+    assert_eq!(asked, 1, "once within a second, not in a storm");
+    let (id, actions) = bench.request(0);
+    assert!(sent(&actions, id).is_some(), "the old list still serves");
+}
+
+/// Guards against a table of workers, and of their names, that grows for as long as machines are replaced.
+#[test]
+fn workers_long_gone_are_forgotten_and_what_is_out_there_is_not() {
+    let mut bench = Bench::new(settings(), 3);
+    let (id, actions) = bench.request(2);
+    let first = sent(&actions, id).expect("sent");
+    for n in 1..300 {
+        let rows: Vec<Row> = (100 * n..100 * n + 100).map(row).collect();
+        bench.event(Event::List { kind: ListKind::All, rows: &rows });
+    }
+    let accounts = bench.dispatcher.accounts();
+    assert!(accounts.workers < 5_000, "{accounts:?} after 29,900 workers");
+    assert_eq!((accounts.requests, accounts.attempts), (1, 3), "an attempt out, open and not started");
+    let (other, actions) = bench.request(0);
+    assert!(sent(&actions, other).is_some(), "those listed serve");
+    bench.settled(other, 0, Ending::Delivered);
+    // What may have run stays in its cell, all of which is gone.
+    let actions = bench.settled(id, 0, Ending::Dropped);
+    assert!(sent(&actions, id).is_none(), "{first:?} is not forgotten");
+    bench.wait(6_000 * MS);
+    assert_eq!(bench.dispatcher.accounts().requests, 0);
+}
+
+/// 48 dispatchers that start at one moment, and a director that serves calls in turn, 110 ms each, of which one
+/// that has waited for 2 s fails but takes its turn all the same. Then it goes down, and all lose their watches.
+#[test]
+fn many_that_start_at_one_moment_are_all_heard_by_a_slow_director() {
+    let new = |n: u64| {
+        let settings = Settings { dispatchers: 48, list_on_request: true, ..settings() };
+        let mut d = Dispatcher::new(settings, n).expect("usable");
+        d.on_event(START, Event::List { kind: ListKind::Remembered, rows: &[row(0)] });
+        d
+    };
+    let mut all: Vec<(Dispatcher, bool)> = (0..48).map(|n| (new(n), false)).collect();
+    let (mut queue, mut busy_until, mut calls) = (std::collections::VecDeque::new(), 0, 0);
+    for down in [false, true] {
+        let begin = START + if down { 60_000 * MS } else { 0 };
+        for (d, heard) in all.iter_mut().filter(|_| down) {
+            *heard = false;
+            d.on_event(begin, Event::List { kind: ListKind::Refused, rows: &[] });
+        }
+        for now in (begin..begin + 20_000 * MS).step_by(10_000) {
+            for (n, (d, _)) in all.iter_mut().enumerate() {
+                let mut actions = Vec::new();
+                d.on_event(now, Event::Timer);
+                d.dispatch(now, &mut actions);
+                if actions.contains(&Action::Subscribe) {
+                    calls += 1;
+                    queue.push_back((now, n));
+                }
+            }
+            while let Some((since, n)) = queue.front().copied().filter(|_| busy_until <= now) {
+                queue.pop_front();
+                busy_until = now + 110 * MS;
+                let in_time = now - since < 2_000 * MS;
+                let kind = if in_time { ListKind::Changes } else { ListKind::Refused };
+                all[n].0.on_event(now, Event::List { kind, rows: &[] });
+                all[n].1 |= in_time;
+            }
+        }
+        let unheard = all.iter().filter(|(_, heard)| !heard).count();
+        assert_eq!(unheard, 0, "not heard within 20 s");
+    }
+    assert!(calls < 3 * 96, "{calls} calls");
+}
--- /dev/null
+++ b/crates/core/tests/mechanism/main.rs
@@ -0,0 +1,31 @@
+//! The mechanism part by part, and one test for each failure found.
+//!
+//! It owns the folder's one binary and what its parts share. It must never hold a test itself.
+
+mod cap;
+mod cold;
+#[path = "../common/mod.rs"]
+mod common;
+mod failing;
+mod input;
+mod list;
+mod pick;
+mod probes;
+mod silence;
+mod tiers;
+
+use common::*;
+use oakshed_core::interface::*;
+
+/// Fills one worker with jobs until the next one is held.
+fn fill(bench: &mut Bench, class: u32) -> Vec<RequestId> {
+    let mut out = Vec::new();
+    for _ in 0..100 {
+        let (id, actions) = bench.request(class);
+        if sent(&actions, id).is_none() {
+            return out;
+        }
+        out.push(id);
+    }
+    panic!("nothing was ever held");
+}
