--- /dev/null
+++ b/crates/server/tests/daily/calls.rs
@@ -0,0 +1,131 @@
+//! Operators' calls: each gets its answer, in time, whoever else calls and whatever is under way.
+//!
+//! It owns the tests of the operators' address. It must never send a job there but to see it refused.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use oakshed_standin::*;
+
+use crate::figure;
+
+#[test]
+fn each_call_gets_its_answer_and_what_is_none_a_no() {
+    let backend = good();
+    let director = Director::new(&[("s-1", backend.address)]);
+    let program = Program::start_with(&director, 1024, &[ADMIN]);
+    let at = program.admin();
+    let bytewise: Vec<&[u8]> = b"readyz\r\n".chunks(1).collect();
+    let long = [b'x'; 5_000];
+    let cases: [(&[&[u8]], bool, &str); 14] = [
+        (&[b"readyz\n"], false, "YES"),
+        (&[b"readyz\r\n"], false, "YES"),
+        (&bytewise, false, "YES"),
+        (&[b"ready", b"z"], true, "YES"),
+        (&[b"readyz\nreadyz\n"], false, "YES"),
+        (&[b"readyz now\n"], false, "NO"),
+        (&[b"telemetry all\n"], false, "NO"),
+        (&[b"exclude\n"], false, "NO"),
+        (&[b"include a b\n"], false, "NO"),
+        (&[b"reboot\n"], false, "NO"),
+        (&[b"\n"], false, "NO"),
+        (&[], true, "NO"),
+        (&[b"\xff\xfe\x00\n"], false, "NO"),
+        (&[&long], false, "NO"),
+    ];
+    for (pieces, end, wanted) in cases {
+        let answer = call_in(at, pieces, end);
+        assert!(answer.starts_with(wanted), "{answer:?} to {pieces:?}");
+        assert_eq!(answer.matches('\n').count(), 1, "{answer:?} to {pieces:?}");
+    }
+    // No job is served there.
+    assert!(call_in(at, &[req("transfer", "id-1").as_bytes()], false).starts_with("NO"));
+    assert_eq!(backend.count(), 0);
+    let figures = call(at, "telemetry");
+    assert!(figures.ends_with("\nEND\n"), "{figures}");
+    assert_eq!((figure(&figures, "members"), figure(&figures, "members_unavailable")), (1, 0));
+    director.set("s-1", "draining");
+    until("the drain in the figures", || figure(&call(at, "telemetry"), "members_unavailable") == 1);
+    until("the drain in the answer", || call(at, "readyz").starts_with("NO"));
+    director.set("s-1", "gone");
+    until("its end in the figures", || figure(&call(at, "telemetry"), "members") == 0);
+}
+
+#[test]
+fn an_operators_address_that_cannot_be_used_is_named() {
+    let path = config("127.0.0.1:9".parse().expect("an address"), "null", 1024);
+    let start = |admin: &str| {
+        let mut command = std::process::Command::new(Program::binary());
+        let out = command.arg("serve").env("ROUTER_CONFIG", &path).env("ROUTER_ADMIN", admin).output();
+        let out = out.expect("started");
+        (out.status.code(), String::from_utf8(out.stderr).expect("text"))
+    };
+    let (status, log) = start("operators");
+    assert_eq!((status, log.lines().count()), (Some(1), 1), "{log}");
+    assert!(log.contains("ROUTER_ADMIN") && log.contains("operators"), "{log}");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("it");
+    let _held = std::net::TcpListener::bind(taken).expect("held");
+    let (status, log) = start(&taken.to_string());
+    assert_eq!(status, Some(1));
+    assert!(log.contains("operators' address") && log.contains(&taken.to_string()), "{log}");
+    _ = std::fs::remove_file(path);
+}
+
+/// Silent callers, many more than there is room for, and clients that hold all that they may.
+#[test]
+fn who_says_nothing_delays_no_call() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 128, &[ADMIN]);
+    let at = program.admin();
+    let _clients: Vec<TcpStream> = (0..200).map(|_| program.connect()).collect();
+    let silent = |n: usize| {
+        let mut stream = TcpStream::connect(at).expect("a connection");
+        if n % 2 == 0 {
+            _ = stream.write_all(b"teleme");
+        }
+        stream
+    };
+    let mut held: Vec<TcpStream> = Vec::new();
+    for round in 0..20 {
+        held.extend((0..10).map(|n| silent(round + n)));
+        let start = Instant::now();
+        assert!(call(at, "readyz").starts_with("YES"));
+        assert!(call(at, "telemetry").ends_with("END\n"));
+        assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    }
+    assert!(std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).expect("listed").count() <= 128);
+}
+
+#[test]
+fn calls_are_answered_in_time_under_load_and_in_a_stop() {
+    let backend = good();
+    let program = Program::start_with(&Director::new(&[("s-1", backend.address)]), 256, &[ADMIN]);
+    let (at, stop) = (program.admin(), AtomicBool::new(false));
+    std::thread::scope(|s| {
+        for t in 0..8 {
+            let (program, stop) = (&program, &stop);
+            s.spawn(move || {
+                for n in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    _ = ask(program.address, &req("transfer", &format!("id-{t}-{n}")));
+                }
+            });
+        }
+        let mut worst = Duration::ZERO;
+        for n in 0..60 {
+            let start = Instant::now();
+            assert!(call(at, "telemetry").ends_with("END\n"));
+            worst = worst.max(start.elapsed());
+            if n == 40 {
+                program.signal("-TERM");
+            }
+            std::thread::sleep(Duration::from_millis(10)); // a steady caller
+        }
+        stop.store(true, Ordering::SeqCst);
+        assert!(worst < Duration::from_secs(1), "{worst:?}");
+    });
+}
