--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,5 +1,5 @@
-//! All decisions of a dispatcher. Its interface (settings, events, actions) is interface.rs;
-//! what it remembers is state.rs.
+//! All decisions of a dispatcher. Its interface (settings, events, actions) is in interface/;
+//! what it remembers is in state/.
 //!
 //! The mechanism is the acceptor of "Web Server Support for Tiered Services" (HPL-1999-160): jobs
 //! wait in per-tier queues, leave strictly top tier first while own outstanding slots stay under a
@@ -69,7 +69,7 @@
 /// Probes out at once.
 const MOST_PROBES: u32 = 16;
 /// Where more schedulers than a few share the director, each leaves it this long for every one of them, up to
-/// a share of the time within which it must ask; a sixth without a list, as nobody is served until it has come.
+/// a share of the time within which it must ask; a sixth without a list, as nobody is served until it comes.
 const FEW: u32 = 4;
 const ASK_SPACING: Micros = 150_000;
 const ASK_SHARE: f64 = 0.7;
