--- /dev/null
+++ b/crates/standin/src/fleet/worker.rs
@@ -0,0 +1,269 @@
+//! A worker for many schedulers: slots, a first-come queue, a ramp after its start, and leases.
+//!
+//! It owns the record of what came to it, connections and jobs. What a leased job may do is the ledger's to
+//! say; a job without a lease runs each time that it comes, so that a second run shows.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::channel::Channel;
+use http_body_util::{BodyExt, Either};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::sync::{watch, Semaphore};
+use tokio::time::sleep;
+
+use super::{answer, bind, now_us, Body};
+use crate::ledger::{Ledger, Word};
+
+/// How a worker is and behaves.
+#[derive(Clone, Debug)]
+pub struct FleetWorkerOptions {
+    /// Jobs that run at once.
+    pub slots: usize,
+    /// Jobs that may wait for one; further ones are declined.
+    pub queue: usize,
+    /// How long a job runs on a warm worker.
+    pub service: Duration,
+    /// The share of its speed with which it starts.
+    pub cold_share: f64,
+    /// How long it takes to be warm.
+    pub ramp: Duration,
+    /// The file of its promises, if any; only jobs with a lease are in it.
+    pub ledger: Option<PathBuf>,
+}
+
+impl Default for FleetWorkerOptions {
+    fn default() -> Self {
+        FleetWorkerOptions {
+            slots: 4,
+            queue: 64,
+            service: Duration::from_millis(20),
+            cold_share: 1.0,
+            ramp: Duration::ZERO,
+            ledger: None,
+        }
+    }
+}
+
+/// A job that came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When its head was read.
+    pub at: u64,
+    /// Its `Req-Id`.
+    pub req: String,
+    /// Its lease's id.
+    pub lease: Option<String>,
+    /// It was run; else declined.
+    pub ran: bool,
+}
+
+/// How often a running job tells its progress.
+const PROGRESS: Duration = Duration::from_millis(250);
+
+struct Shared {
+    options: FleetWorkerOptions,
+    slots: Semaphore,
+    waiting: Cell<usize>,
+    ledger: RefCell<Ledger>,
+    started: Cell<u64>,
+    arrivals: RefCell<Vec<Arrival>>,
+    opened: RefCell<Vec<u64>>,
+    life: watch::Sender<u64>,
+}
+
+/// The worker.
+#[derive(Clone)]
+pub struct FleetWorker {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+impl FleetWorker {
+    /// Listens on a port of that address, and serves from then on; warm as if it had long been there.
+    ///
+    /// # Errors
+    /// Those of binding, and of the ledger's file.
+    pub async fn start(at: IpAddr, options: FleetWorkerOptions) -> std::io::Result<FleetWorker> {
+        let ledger = RefCell::new(Ledger::open(options.ledger.as_deref())?);
+        let (listener, address) = bind(at).await?;
+        let shared = Rc::new(Shared {
+            slots: Semaphore::new(options.slots),
+            options,
+            waiting: Cell::new(0),
+            ledger,
+            started: Cell::new(0),
+            arrivals: RefCell::default(),
+            opened: RefCell::default(),
+            life: watch::Sender::new(0),
+        });
+        let worker = FleetWorker { address, shared: shared.clone() };
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                _ = stream.set_nodelay(true);
+                shared.opened.borrow_mut().push(now_us());
+                let (shared, mut life) = (shared.clone(), shared.life.subscribe());
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(|request| {
+                        let shared = shared.clone();
+                        async move { Ok::<_, Infallible>(serve(shared, request).await) }
+                    });
+                    let mut http = hyper::server::conn::http1::Builder::new();
+                    let serve = http.timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+                    tokio::select! { _ = serve => {} _ = life.changed() => {} }
+                });
+            }
+        });
+        Ok(worker)
+    }
+
+    /// Starts anew: connections break, what ran is lost, and it is cold. Tells when, in Unix time
+    /// milliseconds.
+    pub fn restart(&self) -> u64 {
+        self.shared.started.set(now_us());
+        self.shared.life.send_modify(|life| *life += 1);
+        self.shared.started.get() / 1_000
+    }
+
+    /// When it started, in Unix time milliseconds; 0: long ago.
+    pub fn started_ms(&self) -> u64 {
+        self.shared.started.get() / 1_000
+    }
+
+    /// Since when its memory is whole, in Unix time milliseconds.
+    pub fn since_ms(&self) -> u64 {
+        self.shared.ledger.borrow().since_ms()
+    }
+
+    /// The jobs that came, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.arrivals.borrow().clone()
+    }
+
+    /// When connections were opened, in order.
+    pub fn opened(&self) -> Vec<u64> {
+        self.shared.opened.borrow().clone()
+    }
+}
+
+impl Shared {
+    /// How long a job runs that starts now.
+    fn service(&self) -> Duration {
+        let (cold, ramp) = (self.options.cold_share, self.options.ramp.as_secs_f64());
+        let age = now_us().saturating_sub(self.started.get()) as f64 / 1e6;
+        let warmth = if ramp > 0.0 { (cold + (1.0 - cold) * age / ramp).clamp(0.01, 1.0) } else { 1.0 };
+        self.options.service.div_f64(warmth)
+    }
+}
+
+async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let token = text("lease-token").and_then(|t| t.parse::<u64>().ok());
+    let path = head.uri.path().to_owned();
+    if let Some(rest) = path.strip_prefix("/leases/") {
+        let Ok(body) = body.collect().await else { return answer(400, "") };
+        return lease(&shared, rest, token, &body.to_bytes());
+    }
+    let Some(req) = text("req-id").filter(|_| head.method == Method::POST) else { return answer(404, "") };
+    let leased = text("lease-id").filter(|_| token.is_some());
+    let (at, lease) = (now_us(), leased.clone());
+    let arrive = |ran| shared.arrivals.borrow_mut().push(Arrival { at, req: req.clone(), lease, ran });
+    let declined = || {
+        let mut response = answer(503, "");
+        response.headers_mut().insert("srv-declined", hyper::header::HeaderValue::from_static("1"));
+        response
+    };
+    if body.collect().await.is_err() {
+        return answer(400, "");
+    }
+    if shared.slots.available_permits() == 0 && shared.waiting.get() >= shared.options.queue {
+        arrive(false);
+        return declined();
+    }
+    shared.waiting.set(shared.waiting.get() + 1);
+    // Counted down also where the caller leaves.
+    let waits = Waits(&shared.waiting);
+    let slot = shared.slots.acquire().await;
+    drop(waits);
+    let Ok(slot) = slot else { return declined() };
+    let id = leased.unwrap_or_else(|| req.clone());
+    let may = match token {
+        Some(token) => shared.ledger.borrow_mut().start(&id, token).unwrap_or(false),
+        None => true,
+    };
+    arrive(may);
+    if !may {
+        return declined();
+    }
+    slot.forget();
+    let (mut to, channel) = Channel::<Bytes, Infallible>::new(8);
+    let worker = shared.clone();
+    // Runs to its end, whether or not anyone still listens; only a restart ends it.
+    tokio::task::spawn_local(async move {
+        let mut life = worker.life.subscribe();
+        let line =
+            |rest: &str| Bytes::from(format!("{{\"id\":\"{req}\",\"from\":\"s\",\"state\":{rest}}}\n"));
+        let run = async {
+            let mut left = worker.service();
+            _ = to.send_data(line("\"started\"")).await;
+            while left > PROGRESS {
+                sleep(PROGRESS).await;
+                left -= PROGRESS;
+                _ = to.send_data(line("\"running\"")).await;
+            }
+            sleep(left).await;
+            let result = format!("made {id}");
+            if token.is_some() && worker.ledger.borrow_mut().done(&id, &result).is_err() {
+                return;
+            }
+            _ = to.send_data(line(&format!("\"done\",\"result\":\"{result}\""))).await;
+        };
+        tokio::select! {
+            () = run => {}
+            // The connection breaks first: an end of the stream would be an answer of sorts.
+            _ = life.changed() => sleep(PROGRESS).await,
+        }
+        worker.slots.add_permits(1);
+    });
+    Response::new(Either::Right(channel))
+}
+
+/// One that waits for a slot.
+struct Waits<'a>(&'a Cell<usize>);
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+fn lease(shared: &Shared, rest: &str, token: Option<u64>, body: &[u8]) -> Response<Body> {
+    let mut ledger = shared.ledger.borrow_mut();
+    if rest == "safe" {
+        let text = String::from_utf8_lossy(body);
+        text.lines().filter_map(|line| line.split(' ').next()).for_each(|id| ledger.safe(id));
+        return answer(200, "");
+    }
+    let (Some((id, "fence")), Some(token)) = (rest.split_once('/'), token) else { return answer(404, "") };
+    let (state, result) = match ledger.fence(id, token) {
+        Ok(Word::Never) => ("never", None),
+        Ok(Word::Running) => ("running", None),
+        Ok(Word::Done(result)) => ("done", Some(result)),
+        Ok(Word::Failed) => ("failed", None),
+        Err(_) => return answer(500, ""),
+    };
+    let mut body =
+        serde_json::json!({ "id": id, "token": token, "state": state, "since_ms": ledger.since_ms() });
+    result.into_iter().for_each(|result| body["result"] = result.into());
+    answer(200, body.to_string())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert_ne!(worker.address, director.peer.address);
 //! ```
 
+pub mod fleet;
 mod ledger;
 mod peers;
 mod worker;
--- /dev/null
+++ b/crates/trials/src/checks.rs
@@ -0,0 +1,222 @@
+//! What must hold of a trial, read from its history alone (the way of Jepsen's checkers).
+//!
+//! Each check tells every breach with its node and time. A check must never know which faults were played
+//! beyond what stands in the history.
+
+use std::collections::BTreeMap;
+
+use oakshed_standin::fleet::{Arrival, Call, Outcome};
+
+use crate::history::{End, Req, Span};
+
+/// A scheduler, as its checkers see it.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulerFacts {
+    /// Its name.
+    pub name: String,
+    /// When its processes ran.
+    pub lives: Vec<Span>,
+    /// When it was stopped, and not yet continued.
+    pub stops: Vec<Span>,
+    /// Which list numbers it has taken in, and when.
+    pub told: Vec<(u64, u64)>,
+}
+
+/// A worker, as its checkers see it.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerFacts {
+    /// Its name.
+    pub name: String,
+    /// What came to it.
+    pub arrivals: Vec<Arrival>,
+    /// When connections to it were opened.
+    pub opened: Vec<u64>,
+    /// Jobs that it does in a second when warm.
+    pub jobs_per_second: f64,
+    /// Since when it is not to get anything new: the list's number that says so, for each span of numbers up
+    /// to that at which it is ready again.
+    pub drains: Vec<(u64, Option<u64>)>,
+    /// When it started cold.
+    pub starts: Vec<u64>,
+}
+
+/// All that the checks read.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// The schedulers, by their number.
+    pub schedulers: Vec<SchedulerFacts>,
+    /// The workers.
+    pub workers: Vec<WorkerFacts>,
+    /// The reqs that ended.
+    pub reqs: Vec<Req>,
+    /// The director's calls.
+    pub calls: Vec<Call>,
+}
+
+/// What was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// When, in microseconds of Unix time.
+    pub at: u64,
+    /// On which node.
+    pub node: String,
+    /// What.
+    pub what: String,
+}
+
+/// How long after its scheduler was told a drained worker may still get something new, in microseconds.
+pub const DRAIN_SLACK: u64 = 300_000;
+
+/// What may run once has run at most once, over all workers.
+pub fn nothing_runs_twice(facts: &Facts) -> Vec<Breach> {
+    let once: BTreeMap<&str, &Req> =
+        facts.reqs.iter().filter(|r| r.once).map(|r| (r.id.as_str(), r)).collect();
+    let mut runs: BTreeMap<&str, (usize, &str)> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for worker in &facts.workers {
+        for arrival in worker.arrivals.iter().filter(|a| a.ran) {
+            let id = arrival.lease.as_deref().unwrap_or(&arrival.req);
+            if arrival.lease.is_none() && !once.contains_key(id) {
+                continue;
+            }
+            let (count, first) = runs.entry(id).or_insert((0, &worker.name));
+            *count += 1;
+            if *count > 1 {
+                let what = format!("{id} ran again, after {first}");
+                breaches.push(Breach { at: arrival.at, node: worker.name.clone(), what });
+            }
+        }
+    }
+    breaches
+}
+
+/// Each req that was sent to a scheduler which lived on, and was not stopped, has its answer.
+pub fn all_answered(facts: &Facts) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for req in facts.reqs.iter().filter(|r| matches!(r.end, End::Broken | End::Silence)) {
+        let scheduler = &facts.schedulers[req.scheduler];
+        let lived =
+            scheduler.lives.iter().any(|l| l.from <= req.sent && l.to.is_none_or(|to| to > req.ended));
+        let stopped = scheduler.stops.iter().any(|s| s.meets(req.sent, req.ended));
+        if lived && !stopped {
+            let what = format!("{} had no answer: {:?}", req.id, req.end);
+            breaches.push(Breach { at: req.ended, node: scheduler.name.clone(), what });
+        }
+    }
+    breaches
+}
+
+/// A drained or gone worker gets nothing new later than the slack after its scheduler was told. A scheduler
+/// that was stopped in that time is given its slack from when it was continued.
+pub fn drained_in_time(facts: &Facts) -> Vec<Breach> {
+    let senders: BTreeMap<&str, usize> = facts.reqs.iter().map(|r| (r.id.as_str(), r.scheduler)).collect();
+    let mut breaches = Vec::new();
+    for worker in facts.workers.iter().filter(|w| !w.drains.is_empty()) {
+        for arrival in &worker.arrivals {
+            let Some(scheduler) = senders.get(arrival.req.as_str()).map(|&s| &facts.schedulers[s]) else {
+                continue;
+            };
+            let mut lives = scheduler.lives.iter();
+            let Some(life) = lives.find(|l| l.meets(arrival.at, arrival.at)) else { continue };
+            let told = scheduler.told.iter().filter(|(at, _)| life.from <= *at && *at <= arrival.at);
+            // The list that it held, and since when it said so without a break.
+            let Some(&(_, held)) = told.clone().max_by_key(|(at, number)| (*at, *number)) else { continue };
+            let covers = |number: u64, drain: &(u64, Option<u64>)| {
+                number >= drain.0 && drain.1.is_none_or(|ready| number < ready)
+            };
+            let Some(drain) = worker.drains.iter().find(|d| covers(held, d)) else { continue };
+            let first =
+                told.filter(|(_, n)| covers(*n, drain)).map(|(at, _)| *at).min().unwrap_or(arrival.at);
+            let stops = scheduler.stops.iter().filter(|s| s.meets(first, arrival.at));
+            let from = stops.filter_map(|s| s.to).fold(first, u64::max);
+            if arrival.at > from + DRAIN_SLACK {
+                let late = (arrival.at - from) / 1_000;
+                let (name, number) = (&scheduler.name, drain.0);
+                let what = format!("{} from {name} {late} ms after it was told (list {number})", arrival.req);
+                breaches.push(Breach { at: arrival.at, node: worker.name.clone(), what });
+            }
+        }
+    }
+    breaches
+}
+
+/// What a cold worker may get: in any time of `fall` (seconds) at most N + 3 x root of N + 3 jobs, N being the
+/// multiple of its present capacity.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    /// The share of its capacity with which it starts.
+    pub cold_share: f64,
+    /// How long it warms, in seconds.
+    pub ramp: f64,
+    /// The multiple.
+    pub multiple: f64,
+    /// The time in which jobs are counted, in seconds.
+    pub fall: f64,
+}
+
+/// No cold worker gets more than it can take, from all schedulers together.
+pub fn cold_budgets(facts: &Facts, rule: ColdRule) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for worker in &facts.workers {
+        let came: Vec<u64> = worker.arrivals.iter().map(|a| a.at).collect();
+        for &start in &worker.starts {
+            let warm = start + (rule.ramp * 1e6) as u64;
+            for (n, &at) in came.iter().enumerate().filter(|(_, at)| (start..warm).contains(*at)) {
+                let from = start.max(at.saturating_sub((rule.fall * 1e6) as u64));
+                let count = came[..=n].iter().rev().take_while(|t| **t >= from).count() as f64;
+                let age = (at - start) as f64 / 1e6;
+                let share = rule.cold_share + (1.0 - rule.cold_share) * age / rule.ramp;
+                let most = rule.multiple * share * worker.jobs_per_second * rule.fall;
+                let most = most + 3.0 * most.sqrt() + 3.0;
+                if count > most {
+                    let what =
+                        format!("{count} jobs in {} s, {age:.2} s after its start; {most:.0} may", rule.fall);
+                    breaches.push(Breach { at, node: worker.name.clone(), what });
+                    break;
+                }
+            }
+        }
+    }
+    breaches
+}
+
+/// How the director was called.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// In all.
+    pub all: usize,
+    /// Whole lists that were asked for.
+    pub whole: usize,
+    /// 503.
+    pub refused: usize,
+    /// By the scheduler that called most.
+    pub most: usize,
+}
+
+/// Counts the calls that came in a span of time.
+pub fn calls(facts: &Facts, from: u64, to: u64) -> Calls {
+    let mut counts = Calls::default();
+    let mut each: BTreeMap<usize, usize> = BTreeMap::new();
+    for call in facts.calls.iter().filter(|c| (from..to).contains(&c.at)) {
+        counts.all += 1;
+        counts.whole += usize::from(call.from.is_none());
+        counts.refused += usize::from(call.outcome == Outcome::Refused);
+        *each.entry(call.caller).or_default() += 1;
+    }
+    counts.most = each.values().copied().max().unwrap_or(0);
+    counts
+}
+
+/// The most events in any span of so many microseconds.
+pub fn densest(mut times: Vec<u64>, span: u64) -> usize {
+    times.sort_unstable();
+    let mut first = 0;
+    let mut most = 0;
+    for (n, at) in times.iter().enumerate() {
+        while at - times[first] > span {
+            first += 1;
+        }
+        most = most.max(n + 1 - first);
+    }
+    most
+}
--- /dev/null
+++ b/crates/trials/src/history.rs
@@ -0,0 +1,114 @@
+//! What happened in a trial, as its checkers read it: events by node, reqs and their answers, lives and stops
+//! of processes, what they logged.
+//!
+//! It owns the record and never judges it. Times are in microseconds of Unix time, as all nodes are on one
+//! machine.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use oakshed_standin::fleet::now_us;
+pub use oakshed_standin::fleet::now_us as now;
+
+/// What became of a req, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// An answer with this status.
+    Answer(u16),
+    /// The connection ended without one.
+    Broken,
+    /// It could not be sent: no connection.
+    Unsent,
+    /// Nothing came for much longer than its deadline.
+    Silence,
+}
+
+/// One req of a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Req {
+    /// Its `Req-Id`.
+    pub id: String,
+    /// The scheduler that it was sent to.
+    pub scheduler: usize,
+    /// It may run at most once.
+    pub once: bool,
+    /// When it was sent.
+    pub sent: u64,
+    /// When it ended.
+    pub ended: u64,
+    /// How it ended.
+    pub end: End,
+}
+
+/// A span of time; without an end where it lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// When it began.
+    pub from: u64,
+    /// When it ended.
+    pub to: Option<u64>,
+}
+
+impl Span {
+    /// Whether the two have a moment in common.
+    pub fn meets(&self, from: u64, to: u64) -> bool {
+        self.from <= to && self.to.is_none_or(|end| end >= from)
+    }
+}
+
+/// A line of a scheduler's log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// When it was written, by the scheduler's clock.
+    pub at: u64,
+    /// Its words.
+    pub message: String,
+    /// The list's number, where it tells of one.
+    pub number: Option<u64>,
+}
+
+/// An event on a node, for the timeline.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// When.
+    pub at: u64,
+    /// The node's name.
+    pub node: String,
+    /// What happened.
+    pub word: String,
+}
+
+/// What whoever plays writes down; copies write into one.
+#[derive(Clone, Debug, Default)]
+pub struct History(Rc<RefCell<Record>>);
+
+/// The whole record.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Events, in the order of their times.
+    pub notes: Vec<Note>,
+    /// Reqs that ended.
+    pub reqs: Vec<Req>,
+}
+
+impl History {
+    /// Something happens now.
+    pub fn note(&self, node: &str, word: impl Into<String>) {
+        self.0.borrow_mut().notes.push(Note { at: now_us(), node: node.to_owned(), word: word.into() });
+    }
+
+    /// A req has ended.
+    pub fn ended(&self, req: Req) {
+        self.0.borrow_mut().reqs.push(req);
+    }
+
+    /// The record so far.
+    pub fn record(&self) -> Record {
+        self.0.borrow().clone()
+    }
+
+    /// How many reqs have ended.
+    pub fn reqs(&self) -> usize {
+        self.0.borrow().reqs.len()
+    }
+}
--- /dev/null
+++ b/crates/trials/src/load.rs
@@ -0,0 +1,181 @@
+//! Clients: an open load on all schedulers that run, and what became of each req.
+//!
+//! It owns kept connections, one pool a scheduler, and the end of each req. It must never send a
+//! req twice, but where its clients insist.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use oakshed_standin::fleet::now_us;
+use tokio::net::TcpStream;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+use crate::history::{End, History, Req};
+use crate::settings::{CLASSES, DEADLINE_MS};
+use crate::world::World;
+
+/// How much longer than its deadline a client waits for an answer.
+const BEYOND: Duration = Duration::from_secs(2);
+const DIAL: Duration = Duration::from_secs(1);
+/// Idle connections that are kept to one scheduler.
+const KEPT: usize = 16;
+/// Reqs under way; further ones are not sent, as a load of clients is bounded too.
+const MOST: usize = 4_096;
+
+/// How long a client comes again, in microseconds, and after what pause.
+const INSISTS: u64 = 40_000_000;
+const AGAIN: Duration = Duration::from_millis(50);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+struct Pool {
+    front: SocketAddr,
+    idle: RefCell<Vec<Sender>>,
+}
+
+impl Pool {
+    async fn connection(&self) -> Option<Sender> {
+        loop {
+            let kept = self.idle.borrow_mut().pop();
+            let Some(mut sender) = kept else { break };
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+        let stream = timeout(DIAL, TcpStream::connect(self.front)).await.ok()?.ok()?;
+        _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::task::spawn_local(connection);
+        Some(sender)
+    }
+
+    async fn send(&self, class: &str, id: &str) -> End {
+        let request = || {
+            let request = Request::post(format!("/{class}"))
+                .header("Host", "backend.local")
+                .header("Req-Id", id)
+                .header("Req-Kind", class)
+                .header("Req-Owner", "storholt-bilar")
+                .header("Req-Deadline-Ms", DEADLINE_MS)
+                .header("Req-Extra", "slots=1");
+            request.body(Full::from("body")).expect("a request")
+        };
+        let answer = async {
+            // A kept connection may end just as it is taken: what hyper did not write may be sent anew.
+            for _ in 0..KEPT {
+                let Some(mut sender) = self.connection().await else { return End::Unsent };
+                let response = match sender.try_send_request(request()).await {
+                    Ok(response) => response,
+                    Err(mut e) => match e.take_message() {
+                        Some(_) => continue,
+                        None => return End::Broken,
+                    },
+                };
+                let status: StatusCode = response.status();
+                if response.into_body().collect().await.is_err() {
+                    return End::Broken;
+                }
+                let mut idle = self.idle.borrow_mut();
+                if idle.len() < KEPT {
+                    idle.push(sender);
+                }
+                return End::Answer(status.as_u16());
+            }
+            End::Unsent
+        };
+        let limit = Duration::from_millis(DEADLINE_MS) + BEYOND;
+        timeout(limit, answer).await.unwrap_or(End::Silence)
+    }
+}
+
+struct Shared {
+    history: History,
+    pools: Vec<Pool>,
+    /// Clients come again with the same id until they have an answer that is final.
+    insists: bool,
+    stop: Cell<bool>,
+    under_way: Cell<usize>,
+    sent: Cell<usize>,
+}
+
+/// A load that goes on until it is ended.
+pub struct Load(Rc<Shared>);
+
+impl Load {
+    /// Sends so many reqs a second, each to a scheduler by chance.
+    pub fn start(world: &World, per_second: f64, seed: u64) -> Load {
+        Load::of(world, per_second, seed, false)
+    }
+
+    /// The same, of clients that come again with the same id until their answer is final: 200, or 502 for what
+    /// may have run. For durable jobs, where an id names a job for good.
+    pub fn insist(world: &World, per_second: f64, seed: u64) -> Load {
+        Load::of(world, per_second, seed, true)
+    }
+
+    fn of(world: &World, per_second: f64, seed: u64, insists: bool) -> Load {
+        let pool = |s: &crate::world::Scheduler| Pool { front: s.front, idle: RefCell::default() };
+        let shared = Rc::new(Shared {
+            history: world.history.clone(),
+            pools: world.schedulers.iter().map(pool).collect(),
+            insists,
+            stop: Cell::new(false),
+            under_way: Cell::new(0),
+            sent: Cell::new(0),
+        });
+        let load = Load(shared.clone());
+        tokio::task::spawn_local(async move {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let mut pace = interval(Duration::from_secs_f64(1.0 / per_second));
+            pace.set_missed_tick_behavior(MissedTickBehavior::Burst);
+            while !shared.stop.get() {
+                pace.tick().await;
+                let (n, scheduler) = (shared.sent.get(), rng.usize(..shared.pools.len()));
+                let (class, once) = CLASSES[usize::from(rng.u8(..4) == 0)];
+                if shared.under_way.get() < MOST {
+                    shared.sent.set(n + 1);
+                    shared.under_way.set(shared.under_way.get() + 1);
+                    tokio::task::spawn_local(one(
+                        shared.clone(),
+                        scheduler,
+                        format!("{seed:x}-{n}"),
+                        class,
+                        once,
+                    ));
+                }
+            }
+        });
+        load
+    }
+
+    /// How many were sent.
+    pub fn sent(&self) -> usize {
+        self.0.sent.get()
+    }
+
+    /// Sends no more, and waits until each has ended, which takes a client's patience at the most.
+    pub async fn end(&self) {
+        self.0.stop.set(true);
+        while self.0.under_way.get() > 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+async fn one(shared: Rc<Shared>, scheduler: usize, id: String, class: &'static str, once: bool) {
+    let sent = now_us();
+    let mut end = shared.pools[scheduler].send(class, &id).await;
+    while shared.insists && !matches!(end, End::Answer(200 | 502)) && now_us() < sent + INSISTS {
+        sleep(AGAIN).await;
+        end = shared.pools[scheduler].send(class, &id).await;
+    }
+    shared.history.ended(Req { id, scheduler, once, sent, ended: now_us(), end });
+    shared.under_way.set(shared.under_way.get() - 1);
+}
--- /dev/null
+++ b/crates/trials/src/plays/mixed.rs
@@ -0,0 +1,89 @@
+//! All kinds of faults in a row, drawn from the seed: the long form.
+
+use std::time::Duration;
+
+use super::{answers, began_with_list, judge, serves, Options, Report, PATIENCE};
+use crate::load::Load;
+use crate::relays::Faults;
+use crate::schedule::{schedule, Fault, Step};
+use crate::settings::{COLD_SHARE, RAMP_MS};
+use crate::world::{Known, Setup, World, DIRECTOR};
+
+const WORKERS: usize = 8;
+/// Faults in one play.
+const FAULTS: usize = 16;
+
+/// Faults of all kinds under load; what holds for every trial must hold, and all is well after the last.
+pub(super) async fn mixed(options: Options) -> Result<Report, String> {
+    let schedulers = options.schedulers.unwrap_or(6);
+    let mut setup = Setup::new(schedulers, WORKERS, options.seed);
+    setup.relay_workers = schedulers <= 100;
+    (setup.worker.cold_share, setup.worker.ramp) = (COLD_SHARE, Duration::from_millis(RAMP_MS));
+    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
+    began_with_list(&mut world).await?;
+    let load = Load::start(&world, 200.0, options.seed);
+    let steps = schedule(options.seed, schedulers, WORKERS, FAULTS);
+    let played = steps.len();
+    for Step { after, fault } in steps {
+        tokio::time::sleep(after).await;
+        act(&mut world, fault).await?;
+    }
+    let number = world.director.number();
+    let told =
+        world.until("the last list on all", PATIENCE, |w| w.schedulers.iter().all(|s| s.holds(number))).await;
+    let all: Vec<usize> = (0..schedulers).collect();
+    let again = match told {
+        Ok(_) => serves(&mut world, &all).await,
+        Err(why) => Err(why),
+    };
+    load.end().await;
+    let facts = world.facts();
+    let well =
+        again.as_ref().map(|took| format!("all is well {:.3?} after the last", *took)).unwrap_or_default();
+    let figures = vec![format!("{schedulers} schedulers, {played} steps; {well}"), answers(&facts)];
+    Ok(judge(&world, figures, again.err().into_iter().collect()))
+}
+
+async fn act(world: &mut World, fault: Fault) -> Result<(), String> {
+    let name = |world: &World, s: usize| world.schedulers[s].name.clone();
+    let director = |world: &World, s: usize, faults: Faults| {
+        world.relays.set(&name(world, s), DIRECTOR, faults);
+    };
+    match fault {
+        Fault::Kill(s) => world.kill(s).await,
+        Fault::Restart(s, true) => world.start(s, Known::Held).map_err(|e| e.to_string())?,
+        Fault::Restart(s, false) => world.start(s, Known::No).map_err(|e| e.to_string())?,
+        Fault::Stop(s) => world.stop(s),
+        Fault::GoOn(s) => world.go_on(s),
+        Fault::CutDirector(s, cut_there, cut_back) => {
+            director(world, s, Faults { cut_there, cut_back, ..Faults::none() });
+        }
+        Fault::StallDirector(s) => director(world, s, Faults { stall: true, ..Faults::none() }),
+        Fault::HealDirector(s) => director(world, s, Faults::none()),
+        Fault::ResetWorker(s, w) => _ = world.relays.reset(&name(world, s), &world.workers[w].0),
+        Fault::DelayWorker(s, w, ms) => {
+            let delay = Duration::from_millis(ms);
+            world.relays.set(
+                &name(world, s),
+                &world.workers[w].0,
+                Faults { delay, jitter: delay, ..Faults::none() },
+            );
+        }
+        Fault::Down(down) => {
+            world.history.note(DIRECTOR, if down { "down" } else { "up" });
+            world.director.down(down);
+        }
+        Fault::Slow(ms) => {
+            world.history.note(DIRECTOR, format!("slow by {ms} ms"));
+            world.director.slow(Duration::from_millis(ms));
+        }
+        Fault::Silence => {
+            world.history.note(DIRECTOR, "silent");
+            world.director.silence();
+        }
+        Fault::Drain(w, true) => _ = world.drain(w),
+        Fault::Drain(w, false) => _ = world.undrain(w),
+        Fault::RestartWorker(w, ahead) => _ = world.restart_worker(w, Duration::from_millis(ahead)),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trials/src/plays/mod.rs
@@ -0,0 +1,202 @@
+//! The trials by name: what each plays, and what must hold.
+//!
+//! A trial is told its seed and its size, plays its faults, and reports figures and breaches. It must never
+//! judge by a moment: it waits for conditions, and its limits are those of the rules.
+
+mod cold;
+mod director;
+mod mixed;
+mod processes;
+
+use std::time::Duration;
+
+use oakshed_timeline::Style;
+use tokio::signal::unix::{signal, SignalKind};
+
+use crate::checks::{self, Breach, ColdRule, Facts};
+use crate::history::{now, End};
+use crate::load::Load;
+use crate::picture;
+use crate::settings::{COLD_SHARE, FALL_MS, FALL_MULTIPLE, RAMP_MS};
+use crate::world::{block_on, Known, World};
+
+/// What a trial is played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The seed of its faults and loads.
+    pub seed: u64,
+    /// Schedulers; nothing: as many as CI plays.
+    pub schedulers: Option<usize>,
+}
+
+/// What came of a trial.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// What was counted, a line each.
+    pub figures: Vec<String>,
+    /// What did not hold, a line each.
+    pub broken: Vec<String>,
+    /// The merged timeline.
+    pub timeline: String,
+}
+
+/// A trial by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Play {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it plays, in a line.
+    pub about: &'static str,
+}
+
+const fn named(name: &'static str, about: &'static str) -> Play {
+    Play { name, about }
+}
+
+/// All trials.
+pub const ALL: [Play; 7] = [
+    named(
+        "cold-start",
+        "all start at once without a list; the director serves in turn, 20 ms a call, and refuses after 3 s",
+    ),
+    named("silent-watches", "all watches fall silent at one moment, and a worker is drained right then"),
+    named(
+        "director-cut",
+        "the director's answers do not reach half of the schedulers, a worker is drained, it heals",
+    ),
+    named("stopped", "a scheduler is stopped for 3 s (SIGSTOP) across a drain"),
+    named(
+        "third-killed",
+        "a third is killed at once under load and started again with the list it held, twice",
+    ),
+    named(
+        "durable-kills",
+        "schedulers with durable jobs are killed, and start with a known list and without",
+    ),
+    named("mixed", "sixteen faults of all kinds drawn from the seed: processes, ways, director, workers"),
+];
+
+/// What [`play`] fails with after Ctrl-C or SIGTERM.
+pub const INTERRUPTED: &str = "interrupted";
+
+/// Plays a trial. Where `interruptible`, Ctrl-C and SIGTERM end it in order; else they end this process, and the
+/// watchdog what was started.
+///
+/// # Errors
+/// Where there is none of that name, it could not be set up, or it was interrupted; all that was started has
+/// ended by then.
+pub fn play(name: &str, options: Options, interruptible: bool) -> Result<Report, String> {
+    let outcome = block_on(async {
+        if !interruptible {
+            return by_name(name, options).await;
+        }
+        let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        tokio::select! {
+            report = by_name(name, options) => report,
+            _ = tokio::signal::ctrl_c() => Err(INTERRUPTED.into()),
+            _ = term.recv() => Err(INTERRUPTED.into()),
+        }
+    });
+    let mut report = outcome.map_err(|e| e.to_string())??;
+    if !report.broken.is_empty() {
+        let sized = options.schedulers.map(|n| format!(" --schedulers {n}")).unwrap_or_default();
+        report
+            .broken
+            .push(format!("play it again: oakshed-trials play {name} --seed {}{sized}", options.seed));
+    }
+    Ok(report)
+}
+
+async fn by_name(name: &str, options: Options) -> Result<Report, String> {
+    match name {
+        "cold-start" => cold::start(options).await,
+        "silent-watches" => director::silent(options).await,
+        "director-cut" => director::cut(options).await,
+        "stopped" => processes::stopped(options).await,
+        "third-killed" => processes::killed(options).await,
+        "durable-kills" => processes::durable(options).await,
+        "mixed" => mixed::mixed(options).await,
+        _ => Err(format!("no trial is called {name}; `oakshed-trials list` tells them")),
+    }
+}
+
+/// How long a trial waits for what must come, beyond any limit of a rule: a machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Starts all with the list as it is, and waits until each has told of it.
+async fn began_with_list(world: &mut World) -> Result<(), String> {
+    world.start_all(Known::Held).map_err(|e| e.to_string())?;
+    let number = world.director.number();
+    let holds = |w: &mut World| w.schedulers.iter().all(|s| s.holds(number));
+    world.until("a list on all", PATIENCE, holds).await?;
+    Ok(())
+}
+
+/// Waits until so many further reqs have ended.
+async fn calm(world: &World, reqs: usize, load: &Load) -> Result<(), String> {
+    let (wanted, start) = (world.history.reqs() + reqs, tokio::time::Instant::now());
+    while world.history.reqs() < wanted {
+        if start.elapsed() > PATIENCE {
+            return Err(format!("{} reqs were sent, {} ended", load.sent(), world.history.reqs()));
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
+
+/// Waits until each of these has served a req that was sent from now on.
+async fn serves(world: &mut World, which: &[usize]) -> Result<Duration, String> {
+    let from = now();
+    let served = |world: &mut World| {
+        let record = world.history.record();
+        let by = |s: usize| move |r: &&crate::history::Req| r.scheduler == s && r.sent >= from;
+        which.iter().all(|&s| record.reqs.iter().rev().filter(by(s)).any(|r| r.end == End::Answer(200)))
+    };
+    world.until("a req served by each", PATIENCE, served).await
+}
+
+/// Judges what was played by the checks that hold for every trial, and by the trial's own.
+fn judge(world: &World, figures: Vec<String>, mut broken: Vec<String>) -> Report {
+    let facts = world.facts();
+    let cold = ColdRule {
+        cold_share: COLD_SHARE,
+        ramp: RAMP_MS as f64 / 1e3,
+        multiple: FALL_MULTIPLE,
+        fall: FALL_MS as f64 / 1e3,
+    };
+    let told = |(rule, breaches): (&str, Vec<Breach>)| -> Vec<String> {
+        let line = |b: &Breach| {
+            let at = b.at.saturating_sub(world.began) as f64 / 1e6;
+            format!("{rule}: {} at {at:.3} s: {}", b.node, b.what)
+        };
+        let more = breaches.len().saturating_sub(MOST_TOLD);
+        let more = (more > 0).then(|| format!("{rule}: {more} more"));
+        breaches.iter().take(MOST_TOLD).map(line).chain(more).collect()
+    };
+    let rules = [
+        ("runs once", checks::nothing_runs_twice(&facts)),
+        ("answered", checks::all_answered(&facts)),
+        ("drained", checks::drained_in_time(&facts)),
+        ("cold", checks::cold_budgets(&facts, cold)),
+    ];
+    broken.extend(rules.into_iter().flat_map(told));
+    broken.extend(picture::order(world).into_iter().map(|wrong| format!("order: {wrong}")));
+    let timeline = picture::timeline(world).draw(&Style::default());
+    Report { figures, broken, timeline }
+}
+
+/// The most breaches of one rule that are told in full.
+const MOST_TOLD: usize = 20;
+
+/// What became of the reqs, in a line.
+fn answers(facts: &Facts) -> String {
+    let count = |f: &dyn Fn(End) -> bool| facts.reqs.iter().filter(|r| f(r.end)).count();
+    let served = count(&|e| e == End::Answer(200));
+    let other = count(&|e| matches!(e, End::Answer(s) if s != 200));
+    let (broken, unsent) = (count(&|e| e == End::Broken), count(&|e| e == End::Unsent));
+    let silent = count(&|e| e == End::Silence);
+    format!(
+        "{} reqs: {served} served, {other} otherwise answered, {broken} broken, {unsent} unsent, {silent} silent",
+        facts.reqs.len()
+    )
+}
--- /dev/null
+++ b/crates/trials/src/world.rs
@@ -0,0 +1,419 @@
+//! A whole fleet on loopback: director, workers, schedulers as real processes, and relays between them.
+//!
+//! It owns what is started and ends it when dropped. Whoever plays says when; it must never wait for a
+//! moment, only for conditions with a limit.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use oakshed_standin::fleet::{now_us, FleetDirector, FleetWorker, FleetWorkerOptions};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit, Signal};
+use serde_json::{json, Value};
+use tokio::time::{sleep, Instant};
+
+use crate::checks::{Facts, SchedulerFacts, WorkerFacts};
+use crate::history::{History, Span};
+use crate::process::{Log, Process, Start};
+use crate::relays::Relays;
+use crate::settings::settings;
+use crate::watchdog::Watchdog;
+
+/// The name under which clients stand in relays and timelines.
+pub const CLIENTS: &str = "clients";
+/// The name of the director.
+pub const DIRECTOR: &str = "director";
+
+/// How a fleet is to be.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Schedulers.
+    pub schedulers: usize,
+    /// Their number in the settings.
+    pub balancers: usize,
+    /// Workers.
+    pub workers: usize,
+    /// How these are.
+    pub worker: FleetWorkerOptions,
+    /// A relay between each scheduler and each worker; else schedulers reach workers themselves.
+    pub relay_workers: bool,
+    /// Durable jobs with leases.
+    pub durable: bool,
+    /// The seed of all chances.
+    pub seed: u64,
+}
+
+impl Setup {
+    /// A fleet of so many schedulers and workers, with relays between all.
+    pub fn new(schedulers: usize, workers: usize, seed: u64) -> Setup {
+        let worker = FleetWorkerOptions::default();
+        let (relay_workers, durable) = (true, false);
+        Setup { schedulers, balancers: schedulers, workers, worker, relay_workers, durable, seed }
+    }
+}
+
+/// What a scheduler is started with as the list that it held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// None.
+    No,
+    /// The list as it held it when it was killed; at its first start, the list as it is.
+    Held,
+}
+
+/// A scheduler.
+pub struct Scheduler {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where clients reach it.
+    pub front: SocketAddr,
+    /// Where it reaches the director.
+    director: SocketAddr,
+    held: Option<Value>,
+    process: Option<Process>,
+    lives: Vec<Span>,
+    stops: Vec<Span>,
+    log: Log,
+}
+
+/// A folder that goes with its trial.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The fleet.
+pub struct World {
+    /// How it was to be.
+    pub setup: Setup,
+    /// What happens.
+    pub history: History,
+    /// The relays: clients to each scheduler, each scheduler to the director and to each worker.
+    pub relays: Relays,
+    /// The director.
+    pub director: FleetDirector,
+    /// The workers with their names.
+    pub workers: Vec<(String, FleetWorker)>,
+    /// The schedulers.
+    pub schedulers: Vec<Scheduler>,
+    /// For the chances of whoever plays.
+    pub rng: fastrand::Rng,
+    /// When it was made, in microseconds of Unix time.
+    pub began: u64,
+    drains: BTreeMap<String, Vec<(u64, Option<u64>)>>,
+    starts: BTreeMap<String, Vec<u64>>,
+    // Processes end before the folder goes: fields are dropped in this order.
+    watchdog: Rc<Watchdog>,
+    folder: Folder,
+}
+
+/// Addresses that no other trial and no dialer of this machine uses: an address of 127.0.0.0/8 by this
+/// process's id, whose ports the system picks. Dialers get theirs at 127.0.0.1.
+fn own_addresses() -> (u32, IpAddr, IpAddr) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (pid, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let ip = |part: u32| {
+        let last = 1 + (2 * number + part) % 250;
+        IpAddr::V4(Ipv4Addr::new(127, 64 + (pid >> 8) as u8 % 128, pid as u8, last as u8))
+    };
+    (number, ip(0), ip(1))
+}
+
+impl World {
+    /// Makes a fleet, with its workers listed as ready and warm; no scheduler is started yet.
+    ///
+    /// # Errors
+    /// Those of sockets and files, and where a program is not built.
+    pub async fn new(setup: Setup) -> io::Result<World> {
+        // Many relays need many descriptors.
+        let limit = getrlimit(Resource::Nofile);
+        _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+        let (number, serving, others) = own_addresses();
+        let folder = std::env::temp_dir().join(format!("oakshed-trials-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let folder = Folder(folder);
+        let watchdog = Rc::new(Watchdog::start()?);
+        let history = History::default();
+        let relays = Relays::new(others, setup.seed, history.clone());
+        let places: Rc<RefCell<BTreeMap<(usize, String), SocketAddr>>> = Rc::default();
+        let look = places.clone();
+        let director = FleetDirector::new(move |caller, worker| look.borrow()[&(caller, worker.to_owned())]);
+        // Ports that stay free until the schedulers take them: nobody else binds at this address.
+        let held: Vec<std::net::TcpListener> = (0..setup.schedulers)
+            .map(|_| std::net::TcpListener::bind((serving, 0)))
+            .collect::<io::Result<_>>()?;
+        let mut schedulers = Vec::new();
+        for (n, held) in held.iter().enumerate() {
+            let (name, listen) = (format!("s{n}"), held.local_addr()?);
+            let front = relays.tcp(CLIENTS, &name, listen).await?;
+            let director = relays.tcp(&name, DIRECTOR, director.listen(n, others).await?).await?;
+            let (held, process, log) = (None, None, Log::default());
+            let (lives, stops) = (Vec::new(), Vec::new());
+            schedulers.push(Scheduler { name, listen, front, director, held, process, lives, stops, log });
+        }
+        drop(held);
+        let mut workers = Vec::new();
+        for n in 0..setup.workers {
+            let mut options = setup.worker.clone();
+            if setup.durable {
+                options.ledger = Some(folder.0.join(format!("w{n}.ledger")));
+            }
+            let worker = FleetWorker::start(others, options).await?;
+            let name = format!("w{n}");
+            for (s, scheduler) in schedulers.iter().enumerate() {
+                let at = match setup.relay_workers {
+                    true => relays.tcp(&scheduler.name, &name, worker.address).await?,
+                    false => worker.address,
+                };
+                places.borrow_mut().insert((s, name.clone()), at);
+            }
+            workers.push((name, worker));
+        }
+        director.change(|list| {
+            for (name, worker) in &workers {
+                // Leases go with the memory, which began just now; else they have long been there.
+                let started_ms = if setup.durable { worker.since_ms() } else { 0 };
+                let placed = oakshed_standin::fleet::Placed { lifecycle: "ready", started_ms, since: 0 };
+                list.insert(name.clone(), placed);
+            }
+        });
+        let rng = fastrand::Rng::with_seed(setup.seed);
+        let (drains, starts) = (BTreeMap::new(), BTreeMap::new());
+        let began = now_us();
+        history.note(DIRECTOR, format!("{}: all ready", director.number()));
+        Ok(World {
+            setup,
+            history,
+            relays,
+            director,
+            workers,
+            schedulers,
+            rng,
+            began,
+            drains,
+            starts,
+            watchdog,
+            folder,
+        })
+    }
+
+    /// Starts a scheduler, which must not run, under its name and address.
+    ///
+    /// # Errors
+    /// Those of files and of starting.
+    pub fn start(&mut self, s: usize, known: Known) -> io::Result<()> {
+        let current = self.director.known(s);
+        let scheduler = &mut self.schedulers[s];
+        assert!(scheduler.process.is_none(), "{} runs", scheduler.name);
+        let known = match known {
+            Known::No => Value::Null,
+            Known::Held => scheduler.held.take().unwrap_or(current),
+        };
+        let config = self.folder.0.join(format!("{}.json", scheduler.name));
+        let text = json!({
+            "name": scheduler.name, "seed": format!("{:016x}", self.rng.u64(..)), "known": known,
+            "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 },
+            "settings": settings(self.setup.balancers),
+        });
+        std::fs::write(&config, text.to_string())?;
+        let operator = self.folder.0.join(format!("{}.operator", scheduler.name));
+        if self.setup.durable {
+            let dir = self.folder.0.join(format!("{}.store", scheduler.name));
+            let jobs = json!({ "dir": dir, "leases": true, "lease_ms": 300, "segment_mb": 1 });
+            std::fs::write(&operator, json!({ "jobs": jobs }).to_string())?;
+        }
+        let operator = self.setup.durable.then_some(operator.as_path());
+        let (listen, director) = (scheduler.listen, scheduler.director);
+        let start = Start { config: &config, operator, listen, director };
+        let word = if known.is_null() { "start" } else { "start, list known" };
+        self.history.note(&scheduler.name, word);
+        scheduler.lives.push(Span { from: now_us(), to: None });
+        scheduler.process = Some(Process::start(&start, scheduler.log.clone(), self.watchdog.clone())?);
+        Ok(())
+    }
+
+    /// Starts all that do not run.
+    ///
+    /// # Errors
+    /// As [`World::start`].
+    pub fn start_all(&mut self, known: Known) -> io::Result<()> {
+        (0..self.schedulers.len()).try_for_each(|s| match self.schedulers[s].process {
+            Some(_) => Ok(()),
+            None => self.start(s, known),
+        })
+    }
+
+    /// Kills a scheduler (SIGKILL), whether it runs or is stopped.
+    pub async fn kill(&mut self, s: usize) {
+        let held = self.director.known(s);
+        let scheduler = &mut self.schedulers[s];
+        let Some(mut process) = scheduler.process.take() else { return };
+        let had = scheduler
+            .lives
+            .last()
+            .is_some_and(|life| scheduler.told().iter().any(|(at, _)| *at >= life.from));
+        scheduler.held = had.then_some(held);
+        self.history.note(&scheduler.name, "kill");
+        let now = now_us();
+        scheduler.stops.last_mut().filter(|s| s.to.is_none()).into_iter().for_each(|s| s.to = Some(now));
+        scheduler.lives.last_mut().into_iter().for_each(|l| l.to = Some(now));
+        process.signal(Signal::KILL);
+        _ = process.wait().await;
+    }
+
+    /// Stops a scheduler (SIGSTOP).
+    pub fn stop(&mut self, s: usize) {
+        let scheduler = &mut self.schedulers[s];
+        let Some(process) = &scheduler.process else { return };
+        self.history.note(&scheduler.name, "stop");
+        scheduler.stops.push(Span { from: now_us(), to: None });
+        process.signal(Signal::STOP);
+    }
+
+    /// Continues a stopped scheduler (SIGCONT).
+    pub fn go_on(&mut self, s: usize) {
+        let scheduler = &mut self.schedulers[s];
+        let Some(process) = &scheduler.process else { return };
+        process.signal(Signal::CONT);
+        self.history.note(&scheduler.name, "goes on");
+        let now = now_us();
+        scheduler.stops.last_mut().into_iter().for_each(|s| s.to = Some(now));
+    }
+
+    /// Tells a scheduler to stop in order (SIGTERM).
+    pub fn terminate(&mut self, s: usize) {
+        let scheduler = &self.schedulers[s];
+        self.history.note(&scheduler.name, "term");
+        scheduler.process.iter().for_each(|process| process.signal(Signal::TERM));
+    }
+
+    /// Whether a scheduler has ended by itself, as after SIGTERM or a crash.
+    pub fn ended(&mut self, s: usize) -> bool {
+        let scheduler = &mut self.schedulers[s];
+        let ended = scheduler.process.as_mut().is_some_and(Process::ended);
+        if ended {
+            scheduler.process = None;
+            scheduler.lives.last_mut().into_iter().for_each(|l| l.to = Some(now_us()));
+            self.history.note(&scheduler.name, "ended");
+        }
+        ended
+    }
+
+    /// Whether a scheduler's process is there.
+    pub fn runs(&self, s: usize) -> bool {
+        self.schedulers[s].process.is_some()
+    }
+
+    /// Drains a worker; tells the list's number.
+    pub fn drain(&mut self, w: usize) -> u64 {
+        let name = self.workers[w].0.clone();
+        let number = self.director.lifecycle(&name, "draining");
+        self.history.note(DIRECTOR, format!("{number}: drain {name}"));
+        self.drains.entry(name).or_default().push((number, None));
+        number
+    }
+
+    /// Lets a worker be used again; tells the list's number.
+    pub fn undrain(&mut self, w: usize) -> u64 {
+        let name = self.workers[w].0.clone();
+        let number = self.director.lifecycle(&name, "ready");
+        self.history.note(DIRECTOR, format!("{number}: ready {name}"));
+        self.drains.entry(name).or_default().last_mut().into_iter().for_each(|d| d.1 = Some(number));
+        number
+    }
+
+    /// Starts a worker anew, cold, and tells the director; `step` is how far the clock of its start is off.
+    pub fn restart_worker(&mut self, w: usize, step: Duration) -> u64 {
+        let (name, worker) = &self.workers[w];
+        let started = worker.restart() + step.as_millis() as u64;
+        let number = self.director.set(name, "ready", started);
+        self.history.note(name, "starts cold");
+        self.history.note(DIRECTOR, format!("{number}: new {name}"));
+        self.starts.entry(name.clone()).or_default().push(now_us());
+        number
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Errors
+    /// Where it does not within the limit; tells what.
+    pub async fn until(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        mut holds: impl FnMut(&mut World) -> bool,
+    ) -> Result<Duration, String> {
+        let start = Instant::now();
+        while !holds(self) {
+            if start.elapsed() > limit {
+                return Err(format!("never came within {limit:?}: {what}"));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        Ok(start.elapsed())
+    }
+
+    /// What the checkers read.
+    pub fn facts(&self) -> Facts {
+        let scheduler = |s: &Scheduler| SchedulerFacts {
+            name: s.name.clone(),
+            lives: s.lives.clone(),
+            stops: s.stops.clone(),
+            told: s.told(),
+        };
+        let options = &self.setup.worker;
+        let jobs_per_second = options.slots as f64 / options.service.as_secs_f64();
+        let worker = |(name, worker): &(String, FleetWorker)| WorkerFacts {
+            name: name.clone(),
+            arrivals: worker.arrivals(),
+            opened: worker.opened(),
+            jobs_per_second,
+            drains: self.drains.get(name).cloned().unwrap_or_default(),
+            starts: self.starts.get(name).cloned().unwrap_or_default(),
+        };
+        Facts {
+            schedulers: self.schedulers.iter().map(scheduler).collect(),
+            workers: self.workers.iter().map(worker).collect(),
+            reqs: self.history.record().reqs,
+            calls: self.director.calls(),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Its log so far.
+    pub fn log(&self) -> Vec<crate::history::Line> {
+        self.log.borrow().clone()
+    }
+
+    /// Which lists it has told of in its log, and when.
+    pub fn told(&self) -> Vec<(u64, u64)> {
+        self.log.borrow().iter().filter_map(|line| Some((line.at, line.number?))).collect()
+    }
+
+    /// Whether its present life holds this list, or a later one.
+    pub fn holds(&self, number: u64) -> bool {
+        let since = self.lives.last().map_or(u64::MAX, |life| life.from);
+        self.log.borrow().iter().any(|line| line.at >= since && line.number.is_some_and(|n| n >= number))
+    }
+}
+
+/// Runs something in a thread's own runtime, as a trial needs it.
+///
+/// # Errors
+/// Those of the runtime.
+pub fn block_on<T>(trial: impl Future<Output = T>) -> io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, trial))
+}
--- /dev/null
+++ b/crates/trials/tests/checks.rs
@@ -0,0 +1,115 @@
+//! The checkers find what is broken: made-up histories, each with one breach, beside those without.
+
+use oakshed_standin::fleet::{Arrival, Call, Outcome};
+use oakshed_trials::checks::*;
+use oakshed_trials::history::{End, Req, Span};
+
+const S: u64 = 1_000_000;
+
+fn req(id: &str, sent: u64, ended: u64, end: End) -> Req {
+    Req { id: id.into(), scheduler: 0, once: true, sent, ended, end }
+}
+
+fn arrival(at: u64, req: &str) -> Arrival {
+    Arrival { at, req: req.into(), lease: None, ran: true }
+}
+
+/// A scheduler that lives from the first second on, and two workers.
+fn facts() -> Facts {
+    let lives = vec![Span { from: S, to: None }];
+    let scheduler = SchedulerFacts { name: "s0".into(), lives, ..SchedulerFacts::default() };
+    let worker =
+        |n: usize| WorkerFacts { name: format!("w{n}"), jobs_per_second: 10.0, ..WorkerFacts::default() };
+    Facts { schedulers: vec![scheduler], workers: vec![worker(0), worker(1)], ..Facts::default() }
+}
+
+#[test]
+fn a_second_run_is_found_over_all_workers() {
+    let mut facts = facts();
+    facts.reqs = vec![req("a", S, 2 * S, End::Answer(200)), req("b", S, 2 * S, End::Answer(200))];
+    facts.reqs[1].once = false;
+    facts.workers[0].arrivals = vec![arrival(S, "a"), arrival(S, "b")];
+    facts.workers[1].arrivals = vec![arrival(2 * S, "b"), Arrival { ran: false, ..arrival(2 * S, "a") }];
+    assert_eq!(nothing_runs_twice(&facts), [], "b may run again, and a was declined");
+    facts.workers[1].arrivals.push(arrival(3 * S, "a"));
+    let found = nothing_runs_twice(&facts);
+    assert_eq!((found.len(), found[0].node.as_str(), found[0].at), (1, "w1", 3 * S));
+    // A leased job goes by its lease, whatever its reqs' ids are.
+    let leased = |at, req: &str| Arrival { lease: Some("j".into()), ..arrival(at, req) };
+    facts.workers[0].arrivals = vec![leased(S, "x"), leased(2 * S, "y")];
+    facts.workers[1].arrivals.clear();
+    assert_eq!(nothing_runs_twice(&facts).len(), 1);
+}
+
+#[test]
+fn a_req_without_an_answer_is_found_where_its_scheduler_lived_on() {
+    let mut facts = facts();
+    facts.reqs = vec![req("a", 2 * S, 3 * S, End::Broken)];
+    assert_eq!(all_answered(&facts).len(), 1);
+    facts.reqs[0].end = End::Silence;
+    assert_eq!(all_answered(&facts).len(), 1);
+    facts.schedulers[0].lives = vec![Span { from: S, to: Some(5 * S / 2) }, Span { from: 3 * S, to: None }];
+    assert_eq!(all_answered(&facts), [], "it was killed meanwhile");
+    facts.schedulers[0].lives = vec![Span { from: S, to: None }];
+    facts.schedulers[0].stops = vec![Span { from: S, to: Some(2 * S) }];
+    assert_eq!(all_answered(&facts), [], "it was stopped when this came");
+    facts.schedulers[0].stops = vec![Span { from: S, to: Some(2 * S - 1) }];
+    assert_eq!(all_answered(&facts).len(), 1);
+    facts.reqs[0].end = End::Answer(503);
+    assert_eq!(all_answered(&facts), []);
+}
+
+#[test]
+fn a_late_job_on_a_drained_worker_is_found() {
+    let mut facts = facts();
+    facts.reqs = vec![req("a", S, 9 * S, End::Answer(200))];
+    facts.schedulers[0].told = vec![(S, 1), (2 * S, 5)];
+    facts.workers[0].drains = vec![(5, Some(7))];
+    facts.workers[0].arrivals = vec![arrival(2 * S + DRAIN_SLACK, "a")];
+    assert_eq!(drained_in_time(&facts), []);
+    facts.workers[0].arrivals = vec![arrival(2 * S + DRAIN_SLACK + 1, "a")];
+    assert_eq!(drained_in_time(&facts).len(), 1);
+    // A later list that still drains it gives no new time; one with which it is ready does.
+    facts.schedulers[0].told.push((2 * S + 200_000, 6));
+    assert_eq!(drained_in_time(&facts).len(), 1);
+    facts.schedulers[0].told.push((2 * S + 250_000, 7));
+    assert_eq!(drained_in_time(&facts), []);
+    facts.schedulers[0].told.truncate(2);
+    // Stopped meanwhile: it has its slack from when it went on.
+    facts.schedulers[0].stops = vec![Span { from: 2 * S, to: Some(2 * S + 1) }];
+    assert_eq!(drained_in_time(&facts), []);
+    // Another life was not told.
+    facts.schedulers[0].stops.clear();
+    facts.schedulers[0].lives = vec![Span { from: S, to: Some(2 * S) }, Span { from: 2 * S + 1, to: None }];
+    assert_eq!(drained_in_time(&facts), []);
+}
+
+#[test]
+fn a_cold_worker_that_gets_too_much_is_found() {
+    let rule = ColdRule { cold_share: 0.5, ramp: 10.0, multiple: 2.0, fall: 1.0 };
+    let mut facts = facts();
+    facts.workers[0].starts = vec![10 * S];
+    // N is 2 x 0.5 x 10 jobs in a second at the start: 10 + 3 x root of 10 + 3 are 22.
+    facts.workers[0].arrivals = (0..22).map(|n| arrival(10 * S + n, "a")).collect();
+    assert_eq!(cold_budgets(&facts, rule), []);
+    facts.workers[0].arrivals.push(arrival(10 * S + 22, "b"));
+    assert_eq!(cold_budgets(&facts, rule).len(), 1);
+    facts.workers[0].starts = vec![0];
+    assert_eq!(cold_budgets(&facts, rule), [], "it is warm by then");
+}
+
+#[test]
+fn calls_are_counted_by_kind_and_caller() {
+    let call = |caller, at, from, outcome| Call { caller, at, from, outcome, done: None };
+    let facts = Facts {
+        calls: vec![
+            call(0, 1, None, Outcome::Refused),
+            call(0, 2, None, Outcome::Whole(1)),
+            call(1, 3, Some(1), Outcome::Open),
+            call(1, 9, Some(1), Outcome::Open),
+        ],
+        ..Facts::default()
+    };
+    assert_eq!(calls(&facts, 0, 9), Calls { all: 3, whole: 2, refused: 1, most: 2 });
+    assert_eq!((densest(vec![9, 1, 2, 4], 3), densest(Vec::new(), 3), densest(vec![1, 2], 0)), (3, 0, 1));
+}
