Split the stand-ins by concern, prove the relays and the watchdog, tell of trials

Need: the stand-ins stood in one file of 460 lines with a hand-made reader of HTTP heads; relays and the watchdog were shown only by what the trials needed of them. The stand-ins are five files now, and heads are parsed by httparse (hyper cannot stand in for scripted peers, which send what is malformed on purpose). Tests play each fault of the relays on sockets (cut either way, stall, reset, delay, jitter, rate, datagrams by their pair) and end a trial by SIGTERM, SIGINT and SIGKILL: no process and no folder is left.

The check counts what was sent after the scheduler said that it listens.

--- /dev/null
+++ b/crates/standin/src/director.rs
@@ -0,0 +1,87 @@
+//! A director for one scheduler or a few: its list, and a watch on it.
+//!
+//! It owns the list as the tests set it. For hundreds of schedulers there is another one (fleet).
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::peer::Peer;
+
+/// What the director has to tell: the list by name, and its number.
+pub(crate) type Told = (u64, Vec<(String, SocketAddr, &'static str, u64)>);
+
+pub struct Director {
+    pub peer: Peer,
+    pub(crate) told: Arc<(Mutex<Told>, Condvar)>,
+    /// What the next calls are answered with instead.
+    pub spoilt: Arc<Mutex<Vec<&'static str>>>,
+}
+
+impl Director {
+    pub fn new(backends: &[(&str, SocketAddr)]) -> Director {
+        let entries = backends.iter().map(|(name, at)| (name.to_string(), *at, "ready", 0)).collect();
+        let told = Arc::new((Mutex::new((1, entries)), Condvar::new()));
+        let spoilt = Arc::new(Mutex::new(Vec::<&str>::new()));
+        let (shared, spoil) = (told.clone(), spoilt.clone());
+        let peer = Peer::new(move |message, stream| {
+            let (told, changed) = &*shared;
+            let from =
+                message.first.split("from=").nth(1).and_then(|t| t.split('&').next()?.parse::<u64>().ok());
+            let spoilt = || !spoil.lock().unwrap().is_empty();
+            let mut told = told.lock().unwrap();
+            let end = Instant::now() + Duration::from_millis(500);
+            while from == Some(told.0) && !spoilt() && Instant::now() < end {
+                told = changed.wait_timeout(told, Duration::from_millis(20)).unwrap().0;
+            }
+            if spoilt() {
+                let raw = spoil.lock().unwrap().remove(0);
+                return stream.write_all(raw.as_bytes()).is_ok();
+            }
+            let fresh = from == Some(told.0);
+            let body = list(&told, !fresh, fresh);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all((head + &body).as_bytes()).is_ok()
+        });
+        Director { peer, told, spoilt }
+    }
+
+    /// The number of the list that it tells now.
+    pub fn number(&self) -> u64 {
+        self.told.0.lock().unwrap().0
+    }
+
+    /// The backend is at another address from now on.
+    pub fn move_to(&self, name: &str, at: SocketAddr) {
+        let mut told = self.told.0.lock().unwrap();
+        told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.1 = at);
+        told.0 += 1;
+        self.told.1.notify_all();
+    }
+
+    /// The backend has started at that time, in Unix time milliseconds.
+    pub fn started(&self, name: &str, at_ms: u64) {
+        let mut told = self.told.0.lock().unwrap();
+        told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.3 = at_ms);
+        told.0 += 1;
+        self.told.1.notify_all();
+    }
+
+    pub fn set(&self, name: &str, lifecycle: &'static str) {
+        let mut told = self.told.0.lock().unwrap();
+        told.1.iter_mut().filter(|b| b.0 == name).for_each(|b| b.2 = lifecycle);
+        told.0 += 1;
+        self.told.1.notify_all();
+    }
+}
+
+pub(crate) fn list((number, list): &Told, whole: bool, empty: bool) -> String {
+    let entry = |(name, at, state, started): &(String, SocketAddr, &str, u64)| {
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":{started}}}"#
+        )
+    };
+    let entries: Vec<String> = list.iter().filter(|_| !empty).map(entry).collect();
+    format!(r#"{{"generation":{number},"reset":{whole},"instances":[{}]}}"#, entries.join(","))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,11 +12,19 @@
 //! assert_ne!(worker.address, director.peer.address);
 //! ```
 
+mod clients;
+mod director;
 pub mod fleet;
 mod ledger;
-mod peers;
+mod message;
+mod peer;
+mod program;
 mod worker;
 
+pub use clients::*;
+pub use director::Director;
 pub use ledger::{Ledger, Line, Word};
-pub use peers::*;
+pub use message::Message;
+pub use peer::*;
+pub use program::*;
 pub use worker::{Worker, WorkerOptions};
--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,228 @@
+//! The scheduler under test as a process: its configuration, its start, its log, its signals.
+//!
+//! It owns the process and its files, and ends and removes them when dropped.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use crate::clients::{ask_on, until, PATIENCE};
+use crate::director::{list, Director};
+use crate::message::Message;
+
+const SETTINGS: &str = r#"{"az":0,"azs":["hofdi","selfoss"],"balancers":1,"machine-types":["fast-7"],
+"categories":[{"name":"transfer","aim-ms":120,"give-up-ms":5000,"idempotency":"single_shot","importance":10},
+{"name":"new-plate","aim-ms":150,"give-up-ms":5000,"idempotency":"guarded","dedup-scope":"all",
+"memory-span-ms":7500,"importance":30}],
+"family-info":{"class-stretch":[2.0,2.5],"tells-start":true,"progress-ms":1000},"membership-mode":"on_request",
+"limits":{"cancelling":true,"connect-timeout-ms":200,"idle-close-ms":5000,"max-attempts":4,
+"max-retry-after-ms":2000,"retry-after":true,"second-copies":false},"resolution-ms":4,
+"obligations":{"ask-every-ms":10000,"cold-share":0.32,"fall-ms":2000,"fall-multiple":3,"ramp-time-ms":9000},
+"tenants":[{"name":"storholt-bilar","quota-rps":5000}]}"#;
+
+/// An edit of the configuration that gives the program an operators' address, which the system picks.
+pub const ADMIN: (&str, &str) = (r#""seed":"#, r#""admin":"127.0.0.1:0","seed":"#);
+
+/// Where one scheduler's processes live, one after the other; removed when dropped.
+pub struct Place {
+    pub folder: std::path::PathBuf,
+    pub listen: SocketAddr,
+}
+
+impl Place {
+    pub fn new() -> Place {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("oakshed-place-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // A port that is free now: the program takes it in a moment.
+        let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+        Place { folder, listen }
+    }
+
+    /// The folder that the processes share.
+    pub fn shared(&self) -> std::path::PathBuf {
+        self.folder.join(format!("oakshed-{}", self.listen))
+    }
+}
+
+impl Default for Place {
+    fn default() -> Place {
+        Place::new()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The program under test; killed when dropped.
+pub struct Program {
+    pub child: Child,
+    /// Its configuration file.
+    pub path: std::path::PathBuf,
+    pub address: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+/// Writes a configuration that nobody else uses, and tells its path.
+pub fn config(director: SocketAddr, known: &str, sockets: usize) -> std::path::PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("oakshed-{}-{number}.json", std::process::id()));
+    let text = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{director}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+impl Program {
+    /// Where cargo puts the scheduler beside the tests that start it.
+    pub fn binary() -> std::path::PathBuf {
+        let test = std::env::current_exe().expect("this test's path");
+        let folder = test.ancestors().find(|p| p.join("oakshed").is_file()).expect("the program is built");
+        folder.join("oakshed")
+    }
+
+    pub fn start(director: &Director) -> Program {
+        Program::start_with(director, 1024, &[])
+    }
+
+    /// With fewer descriptors, or with parts of the settings replaced.
+    pub fn start_with(director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
+        let known = list(&director.told.0.lock().unwrap(), true, false);
+        Program::start_knowing(director, &known, sockets, edits)
+    }
+
+    /// With an operator's file.
+    pub fn start_durable(director: &Director, operator: &str) -> Program {
+        Program::start_from(config(director.peer.address, "null", 1024), director, Some(operator), None)
+    }
+
+    /// With something else for the list as last held.
+    pub fn start_knowing(
+        director: &Director,
+        known: &str,
+        sockets: usize,
+        edits: &[(&str, &str)],
+    ) -> Program {
+        let path = config(director.peer.address, known, sockets);
+        let text = std::fs::read_to_string(&path).expect("just written");
+        let edit = |text: String, (from, to): &(&str, &str)| {
+            assert!(text.contains(from), "{from} is not in the settings");
+            text.replace(from, to)
+        };
+        std::fs::write(&path, edits.iter().fold(text, edit)).expect("written");
+        Program::start_from(path, director, None, None)
+    }
+
+    /// At a place of its own, a folder and a clients' address, where another process may serve already.
+    pub fn start_at(place: &Place, director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
+        let known = list(&director.told.0.lock().unwrap(), true, false);
+        let text = std::fs::read_to_string(config(director.peer.address, &known, sockets)).expect("written");
+        let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
+        let path = place.folder.join("config.json");
+        std::fs::write(&path, text).expect("written");
+        Program::start_from(path, director, None, Some(place))
+    }
+
+    fn start_from(
+        path: std::path::PathBuf,
+        director: &Director,
+        operator: Option<&str>,
+        place: Option<&Place>,
+    ) -> Program {
+        let mut command = Command::new(Program::binary());
+        command.arg("serve").env_remove("TMPDIR");
+        if let Some(place) = place {
+            command.env("TMPDIR", &place.folder).env("ROUTER_LISTEN", place.listen.to_string());
+        }
+        if let Some(operator) = operator {
+            std::fs::write(path.with_extension("operator"), operator).expect("written");
+            command.arg("--operator").arg(path.with_extension("operator"));
+        }
+        let mut child = command
+            .env("ROUTER_CONFIG", &path)
+            .env_remove("ROUTER_ADMIN")
+            .env("ROUTER_DISCOVERY", director.peer.address.to_string())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (keep, errors) = (log.clone(), child.stderr.take().expect("its log"));
+        std::thread::spawn(move || {
+            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+                *keep.lock().unwrap() += &(line + "\n");
+            }
+        });
+        let mut program = Program { child, path, address: SocketAddr::from(([127, 0, 0, 1], 0)), log };
+        let told = |log: &str| log.split("listens on ").nth(1)?.split(',').next()?.parse().ok();
+        until("the address in the log", || {
+            told(&program.log()).map(|address| program.address = address).is_some()
+        });
+        until("ready", || program.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200);
+        program
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
+    /// Where operators call; its configuration names such an address.
+    pub fn admin(&self) -> SocketAddr {
+        let told = |log: &str| log.split("operators call ").nth(1)?.split_whitespace().next()?.parse().ok();
+        let mut at = None;
+        until("the operators' address in the log", || {
+            at = told(&self.log());
+            at.is_some()
+        });
+        at.expect("told")
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        stream
+    }
+
+    /// Sends raw text on a new connection and reads the answer.
+    pub fn ask(&self, text: &str) -> Message {
+        ask_on(&mut self.connect(), text)
+    }
+
+    /// Replaces a part of the configuration file, and tells the program.
+    pub fn reload(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.path).expect("its configuration");
+        std::fs::write(&self.path, text.replace(from, to)).expect("written");
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let mut ended = None;
+        until("its end", || {
+            ended = self.child.try_wait().expect("its state");
+            ended.is_some()
+        });
+        ended.expect("ended")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+        _ = std::fs::remove_file(&self.path);
+        _ = std::fs::remove_file(self.path.with_extension("operator"));
+    }
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use crate::ledger::{Ledger, Word};
-use crate::peers::{chunk, status, Message};
+use crate::message::Message;
+use crate::peer::{chunk, status};
 
 /// How a worker is and behaves.
 #[derive(Clone, Debug)]
--- a/crates/trials/src/checks.rs
+++ b/crates/trials/src/checks.rs
@@ -16,6 +16,8 @@
     pub name: String,
     /// When its processes ran.
     pub lives: Vec<Span>,
+    /// When each of its processes could be connected to.
+    pub listens: Vec<u64>,
     /// When it was stopped, and not yet continued.
     pub stops: Vec<Span>,
     /// Which list numbers it has taken in, and when.
@@ -90,13 +92,14 @@
     breaches
 }
 
-/// Each req that was sent to a scheduler which lived on, and was not stopped, has its answer.
+/// Each req that was sent to a scheduler which listened and lived on, and was not stopped, has its answer.
 pub fn all_answered(facts: &Facts) -> Vec<Breach> {
     let mut breaches = Vec::new();
     for req in facts.reqs.iter().filter(|r| matches!(r.end, End::Broken | End::Silence)) {
         let scheduler = &facts.schedulers[req.scheduler];
-        let lived =
-            scheduler.lives.iter().any(|l| l.from <= req.sent && l.to.is_none_or(|to| to > req.ended));
+        let listened = |since: u64| scheduler.listens.iter().any(|at| (since..=req.sent).contains(at));
+        let mut lives = scheduler.lives.iter();
+        let lived = lives.any(|l| listened(l.from) && l.to.is_none_or(|to| to > req.ended));
         let stopped = scheduler.stops.iter().any(|s| s.meets(req.sent, req.ended));
         if lived && !stopped {
             let what = format!("{} had no answer: {:?}", req.id, req.end);
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod relays;
 pub mod schedule;
+pub mod scheduler;
 pub mod settings;
 pub mod watchdog;
 pub mod world;
--- a/crates/trials/src/load.rs
+++ b/crates/trials/src/load.rs
@@ -121,7 +121,7 @@
     }
 
     fn of(world: &World, per_second: f64, seed: u64, insists: bool) -> Load {
-        let pool = |s: &crate::world::Scheduler| Pool { front: s.front, idle: RefCell::default() };
+        let pool = |s: &crate::scheduler::Scheduler| Pool { front: s.front, idle: RefCell::default() };
         let shared = Rc::new(Shared {
             history: world.history.clone(),
             pools: world.schedulers.iter().map(pool).collect(),
--- a/crates/trials/src/plays/cold.rs
+++ b/crates/trials/src/plays/cold.rs
@@ -6,7 +6,8 @@
 
 use super::{judge, Options, Report};
 use crate::checks::{calls, densest};
-use crate::world::{Known, Setup, World};
+use crate::scheduler::Known;
+use crate::world::{Setup, World};
 
 const PER_CALL: Duration = Duration::from_millis(20);
 const REFUSE_AFTER: Duration = Duration::from_secs(3);
--- a/crates/trials/src/plays/mixed.rs
+++ b/crates/trials/src/plays/mixed.rs
@@ -6,8 +6,9 @@
 use crate::load::Load;
 use crate::relays::Faults;
 use crate::schedule::{schedule, Fault, Step};
+use crate::scheduler::Known;
 use crate::settings::{COLD_SHARE, RAMP_MS};
-use crate::world::{Known, Setup, World, DIRECTOR};
+use crate::world::{Setup, World, DIRECTOR};
 
 const WORKERS: usize = 8;
 /// Faults in one play.
--- a/crates/trials/src/plays/mod.rs
+++ b/crates/trials/src/plays/mod.rs
@@ -17,8 +17,9 @@
 use crate::history::{now, End};
 use crate::load::Load;
 use crate::picture;
+use crate::scheduler::Known;
 use crate::settings::{COLD_SHARE, FALL_MS, FALL_MULTIPLE, RAMP_MS};
-use crate::world::{block_on, Known, World};
+use crate::world::{block_on, World};
 
 /// What a trial is played with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/trials/src/plays/processes.rs
+++ b/crates/trials/src/plays/processes.rs
@@ -5,7 +5,8 @@
 use super::{answers, began_with_list, calm, judge, serves, Options, Report, PATIENCE};
 use crate::history::End;
 use crate::load::Load;
-use crate::world::{Known, Setup, World};
+use crate::scheduler::Known;
+use crate::world::{Setup, World};
 
 /// How long a process is stopped.
 const STOPPED: Duration = Duration::from_secs(3);
--- a/crates/trials/src/watchdog.rs
+++ b/crates/trials/src/watchdog.rs
@@ -6,12 +6,15 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::os::unix::process::CommandExt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::Mutex;
 
 use rustix::process::{kill_process, Pid, Signal};
 
+/// How the names of trials' folders begin.
+pub const FOLDERS: &str = "oakshed-trials-";
+
 /// A program that cargo puts beside this one.
 pub fn beside(name: &str) -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
@@ -40,7 +43,11 @@
 /// The other process: reads what is to be watched until its standard input ends, and then ends what is left.
 pub fn run(input: impl BufRead) {
     let mut watched: BTreeMap<u32, u64> = BTreeMap::new();
+    let mut folder = None;
     for line in input.lines().map_while(Result::ok) {
+        if let Some(path) = line.strip_prefix("in ") {
+            folder = Some(PathBuf::from(path));
+        }
         let mut words = line.split(' ');
         let (verb, pid) = (words.next(), words.next().and_then(|w| w.parse().ok()));
         match (verb, pid, words.next().and_then(|w| w.parse().ok())) {
@@ -54,6 +61,10 @@
             _ = signal(pid, Signal::KILL);
         }
     }
+    // Only what a trial has made, whatever was told.
+    let ours = |path: &Path| path.file_name().is_some_and(|n| n.to_string_lossy().starts_with(FOLDERS));
+    let made = |path: &PathBuf| path.starts_with(std::env::temp_dir()) && ours(path) && path.is_dir();
+    folder.filter(made).into_iter().for_each(|path| _ = std::fs::remove_dir_all(path));
 }
 
 /// The trial's side.
@@ -75,6 +86,11 @@
         Ok(Watchdog { child, input })
     }
 
+    /// A folder is to be removed with the trial.
+    pub fn folder(&self, path: &Path) {
+        self.tell(format_args!("in {}", path.display()));
+    }
+
     /// A process is to be ended with the trial.
     pub fn watch(&self, pid: u32) {
         if let Some(start) = started(pid) {
