--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 
 use crate::clients::{ask_on, until, PATIENCE};
-use crate::director::{list, Director};
+use crate::director::Director;
 use crate::message::Message;
 
 const SETTINGS: &str = r#"{"az":0,"azs":["hofdi","selfoss"],"balancers":1,"machine-types":["fast-7"],
@@ -96,13 +96,18 @@
 
     /// With fewer descriptors, or with parts of the settings replaced.
     pub fn start_with(director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
-        let known = list(&director.told.0.lock().unwrap(), true, false);
+        let known = director.known();
         Program::start_knowing(director, &known, sockets, edits)
     }
 
     /// With an operator's file.
     pub fn start_durable(director: &Director, operator: &str) -> Program {
-        Program::start_from(config(director.peer.address, "null", 1024), director, Some(operator), None)
+        Program::start_durable_knowing(director, "null", operator)
+    }
+
+    /// The same, with something for the list as last held.
+    pub fn start_durable_knowing(director: &Director, known: &str, operator: &str) -> Program {
+        Program::start_from(config(director.peer.address, known, 1024), director, Some(operator), None)
     }
 
     /// With something else for the list as last held.
@@ -124,7 +129,7 @@
 
     /// At a place of its own, a folder and a clients' address, where another process may serve already.
     pub fn start_at(place: &Place, director: &Director, sockets: usize, edits: &[(&str, &str)]) -> Program {
-        let known = list(&director.told.0.lock().unwrap(), true, false);
+        let known = director.known();
         let text = std::fs::read_to_string(config(director.peer.address, &known, sockets)).expect("written");
         let text = edits.iter().fold(text, |text, (from, to)| text.replace(from, to));
         let path = place.folder.join("config.json");
