Draw the timeline of a trial also where something never came

Need: a trial that waited in vain ended with one line and without its timeline, which is what a reader needs. Each trial is a setup and a play now, and whatever a play ends with is judged and drawn, what never came as a breach of its own. Ruled out: drawing in each play (forgotten in the next).

--- a/crates/trials/src/plays/cold.rs
+++ b/crates/trials/src/plays/cold.rs
@@ -4,7 +4,7 @@
 
 use oakshed_standin::fleet::{now_us, Pace};
 
-use super::{judge, Options, Report};
+use super::{Options, Told};
 use crate::checks::{calls, densest};
 use crate::scheduler::Known;
 use crate::world::{Setup, World};
@@ -14,11 +14,13 @@
 /// Until the calls of a start are over, beyond the last to be ready.
 const WATCHED: Duration = Duration::from_secs(2);
 
+pub(super) fn setup(options: Options) -> Setup {
+    Setup { relay_workers: false, ..Setup::new(options.schedulers.unwrap_or(20), 12, options.seed) }
+}
+
 /// All start at once without a list, against a director that serves in turn.
-pub(super) async fn start(options: Options) -> Result<Report, String> {
-    let schedulers = options.schedulers.unwrap_or(20);
-    let setup = Setup { relay_workers: false, ..Setup::new(schedulers, 12, options.seed) };
-    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
+pub(super) async fn start(world: &mut World) -> Result<Told, String> {
+    let schedulers = world.setup.schedulers;
     world.director.pace(Some(Pace { per_call: PER_CALL, refuse_after: REFUSE_AFTER }));
     let number = world.director.number();
     let began = now_us();
@@ -57,5 +59,5 @@
     if counts.refused > 0 && schedulers <= 100 {
         broken.push(format!("{} calls refused: the director can serve all in time", counts.refused));
     }
-    Ok(judge(&world, figures, broken))
+    Ok(Told { figures, broken })
 }
--- a/crates/trials/src/plays/director.rs
+++ b/crates/trials/src/plays/director.rs
@@ -4,7 +4,7 @@
 
 use oakshed_standin::fleet::{now_us, Outcome};
 
-use super::{answers, began_with_list, calm, judge, Options, Report, PATIENCE};
+use super::{answers, began_with_list, calm, Options, Told, PATIENCE};
 use crate::checks::{calls, densest};
 use crate::load::Load;
 use crate::relays::Faults;
@@ -15,14 +15,16 @@
 /// So long after the watches fell silent the calls of all are counted.
 const COUNTED: u64 = 8_000_000;
 
+pub(super) fn setup(options: Options) -> Setup {
+    Setup { relay_workers: false, ..Setup::new(options.schedulers.unwrap_or(12), 12, options.seed) }
+}
+
 /// All watches fall silent at one moment, and a worker is drained right then.
-pub(super) async fn silent(options: Options) -> Result<Report, String> {
-    let schedulers = options.schedulers.unwrap_or(12);
-    let setup = Setup { relay_workers: false, ..Setup::new(schedulers, 12, options.seed) };
-    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
-    began_with_list(&mut world).await?;
-    let load = Load::start(&world, 100.0, options.seed);
-    watched_by_all(&mut world).await?;
+pub(super) async fn silent(world: &mut World) -> Result<Told, String> {
+    let (schedulers, seed) = (world.setup.schedulers, world.setup.seed);
+    began_with_list(world).await?;
+    let load = Load::start(world, 100.0, seed);
+    watched_by_all(world).await?;
     let at = now_us();
     world.history.note(DIRECTOR, "silent");
     world.director.silence();
@@ -66,7 +68,7 @@
             "{too_late} schedulers have the drain later than {TOLD_ANYWAY:?} after the silence"
         ));
     }
-    Ok(judge(&world, figures, broken))
+    Ok(Told { figures, broken })
 }
 
 /// Waits until each scheduler has a watch open on the present list.
@@ -82,13 +84,11 @@
 }
 
 /// What the director answers to half of the schedulers does not arrive; a worker is drained; then it heals.
-pub(super) async fn cut(options: Options) -> Result<Report, String> {
-    let schedulers = options.schedulers.unwrap_or(12);
-    let setup = Setup { relay_workers: false, ..Setup::new(schedulers, 12, options.seed) };
-    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
-    began_with_list(&mut world).await?;
-    let load = Load::start(&world, 100.0, options.seed);
-    watched_by_all(&mut world).await?;
+pub(super) async fn cut(world: &mut World) -> Result<Told, String> {
+    let (schedulers, seed) = (world.setup.schedulers, world.setup.seed);
+    began_with_list(world).await?;
+    let load = Load::start(world, 100.0, seed);
+    watched_by_all(world).await?;
     let (cut, whole): (Vec<usize>, Vec<usize>) = (0..schedulers).partition(|s| s % 2 == 0);
     for &s in &cut {
         let name = world.schedulers[s].name.clone();
@@ -110,7 +110,7 @@
         world.relays.set(&name, DIRECTOR, Faults::none());
     }
     let healed = world.until("the drain on all", PATIENCE, on(cut.clone())).await?;
-    calm(&world, 200, &load).await?;
+    calm(world, 200, &load).await?;
     load.end().await;
     let facts = world.facts();
     let figures = vec![
@@ -121,5 +121,5 @@
         answers(&facts),
     ];
     let heard = (heard > 0).then(|| format!("{heard} that were cut off have heard: the cut does not cut"));
-    Ok(judge(&world, figures, heard.into_iter().collect()))
+    Ok(Told { figures, broken: heard.into_iter().collect() })
 }
--- a/crates/trials/src/plays/mixed.rs
+++ b/crates/trials/src/plays/mixed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{answers, began_with_list, judge, serves, Options, Report, PATIENCE};
+use super::{answers, began_with_list, serves, Options, Told, PATIENCE};
 use crate::load::Load;
 use crate::relays::Faults;
 use crate::schedule::{schedule, Fault, Step};
@@ -14,27 +14,32 @@
 /// Faults in one play.
 const FAULTS: usize = 16;
 
-/// Faults of all kinds under load; what holds for every trial must hold, and all is well after the last.
-pub(super) async fn mixed(options: Options) -> Result<Report, String> {
+pub(super) fn setup(options: Options) -> Setup {
     let schedulers = options.schedulers.unwrap_or(6);
     let mut setup = Setup::new(schedulers, WORKERS, options.seed);
+    // 12,000 listeners and more would need as many descriptors.
     setup.relay_workers = schedulers <= 100;
     (setup.worker.cold_share, setup.worker.ramp) = (COLD_SHARE, Duration::from_millis(RAMP_MS));
-    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
-    began_with_list(&mut world).await?;
-    let load = Load::start(&world, 200.0, options.seed);
-    let steps = schedule(options.seed, schedulers, WORKERS, FAULTS);
+    setup
+}
+
+/// Faults of all kinds under load; what holds for every trial must hold, and all is well after the last.
+pub(super) async fn mixed(world: &mut World) -> Result<Told, String> {
+    let (schedulers, seed) = (world.setup.schedulers, world.setup.seed);
+    began_with_list(world).await?;
+    let load = Load::start(world, 200.0, seed);
+    let steps = schedule(seed, schedulers, WORKERS, FAULTS);
     let played = steps.len();
     for Step { after, fault } in steps {
         tokio::time::sleep(after).await;
-        act(&mut world, fault).await?;
+        act(world, fault).await?;
     }
     let number = world.director.number();
     let told =
         world.until("the last list on all", PATIENCE, |w| w.schedulers.iter().all(|s| s.holds(number))).await;
     let all: Vec<usize> = (0..schedulers).collect();
     let again = match told {
-        Ok(_) => serves(&mut world, &all).await,
+        Ok(_) => serves(world, &all).await,
         Err(why) => Err(why),
     };
     load.end().await;
@@ -42,7 +47,7 @@
     let well =
         again.as_ref().map(|took| format!("all is well {:.3?} after the last", *took)).unwrap_or_default();
     let figures = vec![format!("{schedulers} schedulers, {played} steps; {well}"), answers(&facts)];
-    Ok(judge(&world, figures, again.err().into_iter().collect()))
+    Ok(Told { figures, broken: again.err().into_iter().collect() })
 }
 
 async fn act(world: &mut World, fault: Fault) -> Result<(), String> {
--- a/crates/trials/src/plays/mod.rs
+++ b/crates/trials/src/plays/mod.rs
@@ -108,17 +108,36 @@
     Ok(report)
 }
 
+/// What a trial tells of itself.
+#[derive(Default)]
+struct Told {
+    figures: Vec<String>,
+    broken: Vec<String>,
+}
+
 async fn by_name(name: &str, options: Options) -> Result<Report, String> {
-    match name {
-        "cold-start" => cold::start(options).await,
-        "silent-watches" => director::silent(options).await,
-        "director-cut" => director::cut(options).await,
-        "stopped" => processes::stopped(options).await,
-        "third-killed" => processes::killed(options).await,
-        "durable-kills" => processes::durable(options).await,
-        "mixed" => mixed::mixed(options).await,
-        _ => Err(format!("no trial is called {name}; `oakshed-trials list` tells them")),
-    }
+    let setup = match name {
+        "cold-start" => cold::setup(options),
+        "silent-watches" | "director-cut" => director::setup(options),
+        "stopped" => processes::setup_stopped(options),
+        "third-killed" => processes::setup_killed(options),
+        "durable-kills" => processes::setup_durable(options),
+        "mixed" => mixed::setup(options),
+        _ => return Err(format!("no trial is called {name}; `oakshed-trials list` tells them")),
+    };
+    let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
+    let outcome = match name {
+        "cold-start" => cold::start(&mut world).await,
+        "silent-watches" => director::silent(&mut world).await,
+        "director-cut" => director::cut(&mut world).await,
+        "stopped" => processes::stopped(&mut world).await,
+        "third-killed" => processes::killed(&mut world).await,
+        "durable-kills" => processes::durable(&mut world).await,
+        _ => mixed::mixed(&mut world).await,
+    };
+    // What never came is a breach too, and is read from the same timeline.
+    let told = outcome.unwrap_or_else(|why| Told { figures: Vec::new(), broken: vec![why] });
+    Ok(judge(&world, told))
 }
 
 /// How long a trial waits for what must come, beyond any limit of a rule: a machine may be busy.
@@ -157,7 +176,8 @@
 }
 
 /// Judges what was played by the checks that hold for every trial, and by the trial's own.
-fn judge(world: &World, figures: Vec<String>, mut broken: Vec<String>) -> Report {
+fn judge(world: &World, told: Told) -> Report {
+    let Told { figures, mut broken } = told;
     let facts = world.facts();
     let cold = ColdRule {
         cold_share: COLD_SHARE,
@@ -165,7 +185,7 @@
         multiple: FALL_MULTIPLE,
         fall: FALL_MS as f64 / 1e3,
     };
-    let told = |(rule, breaches): (&str, Vec<Breach>)| -> Vec<String> {
+    let lines = |(rule, breaches): (&str, Vec<Breach>)| -> Vec<String> {
         let line = |b: &Breach| {
             let at = b.at.saturating_sub(world.began) as f64 / 1e6;
             format!("{rule}: {} at {at:.3} s: {}", b.node, b.what)
@@ -180,7 +200,7 @@
         ("drained", checks::drained_in_time(&facts)),
         ("cold", checks::cold_budgets(&facts, cold)),
     ];
-    broken.extend(rules.into_iter().flat_map(told));
+    broken.extend(rules.into_iter().flat_map(lines));
     broken.extend(picture::order(world).into_iter().map(|wrong| format!("order: {wrong}")));
     let timeline = picture::timeline(world).draw(&Style::default());
     Report { figures, broken, timeline }
