Membership, rows and lists among schedulers as one state machine, shown in virtual time

Schedulers of one installation see too little each: they share who is there, rows that fade, and the director's list.

--- /dev/null
+++ b/crates/peers/src/facts.rs
@@ -0,0 +1,274 @@
+//! What a newcomer learns from a running process about the workers: the director's list with its
+//! number, who is leaving, since when each runs.
+//!
+//! It owns the newest list that is known of the own director, by whoever told it, and the changes that
+//! lead to it. It must never let a peer's word relax a rule: an older list never overrides a newer one,
+//! lists of different directors are never compared, and what comes out as news only makes a scheduler
+//! more careful (a worker leaves, a worker started later than thought).
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::message::{ListNumber, ListPart};
+use crate::Micros;
+
+/// The longest id of a worker or name of a director, in bytes.
+pub const ID: usize = 64;
+/// Gone workers that are remembered, so that others hear of them.
+const GONE: usize = 256;
+/// How many bytes of workers go into one part.
+const PART: usize = 960;
+
+/// What the list says of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It takes jobs.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It is not on the list any more.
+    Gone,
+}
+
+/// A worker as the list has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Its id.
+    pub id: String,
+    /// Whether it takes jobs.
+    pub standing: Standing,
+    /// When it started, in milliseconds of Unix time.
+    pub start: u64,
+}
+
+/// What was learned from peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// A worker that the own list may still have as ready is leaving: no job to it from now on.
+    Leaving {
+        /// Its id.
+        worker: String,
+        /// Draining or gone.
+        standing: Standing,
+        /// The number of the list that says so.
+        number: u64,
+        /// How old that word is.
+        age: Micros,
+    },
+    /// A worker started later than the own list has it, so it is colder than thought.
+    Colder {
+        /// Its id.
+        worker: String,
+        /// Milliseconds of Unix time.
+        start: u64,
+    },
+    /// The whole list of this number is held now.
+    Whole {
+        /// The director's number.
+        number: u64,
+        /// How old the director's word is.
+        age: Micros,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    standing: Standing,
+    start: u64,
+    /// The number of the list that changed it last.
+    changed: u64,
+}
+
+/// Parts of a list that is not complete yet.
+#[derive(Clone, Debug)]
+struct Coming {
+    base: u64,
+    number: u64,
+    of: u8,
+    told: Micros,
+    seen: BTreeSet<u8>,
+    workers: Vec<Worker>,
+}
+
+/// The newest list that is known.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    director: String,
+    /// The most workers.
+    most: usize,
+    /// Older words than this are not heard.
+    oldest: Micros,
+    number: u64,
+    told: Micros,
+    workers: BTreeMap<String, Entry>,
+    coming: Option<Coming>,
+    /// Parts of lists of other directors, or older ones, or with more workers than there may be.
+    pub not_used: u64,
+}
+
+impl Facts {
+    /// Of one director, known by its address as the settings have it.
+    pub fn new(director: &str, most: usize, oldest: Micros) -> Facts {
+        let director = director.to_owned();
+        let (workers, coming) = (BTreeMap::new(), None);
+        Facts { director, most, oldest, number: 0, told: 0, workers, coming, not_used: 0 }
+    }
+
+    /// The list that is held.
+    pub fn held(&self) -> ListNumber {
+        let director = crc32fast::hash(self.director.as_bytes()) & 0xff_ffff;
+        ListNumber { director, number: self.number }
+    }
+
+    /// The own director told the whole list: first-hand, so it counts whatever its number is. True where
+    /// it is news for others.
+    pub fn told(&mut self, now: Micros, number: u64, list: &[Worker]) -> bool {
+        let news = number != self.number;
+        self.take(now, number, 0, list);
+        if self.coming.as_ref().is_some_and(|c| c.number <= number) {
+            self.coming = None;
+        }
+        news
+    }
+
+    /// Takes a list over: all of it (base 0), or what changed.
+    fn take(&mut self, told: Micros, number: u64, base: u64, list: &[Worker]) {
+        if base == 0 {
+            let there: BTreeSet<&str> = list.iter().map(|w| w.id.as_str()).collect();
+            for (id, entry) in &mut self.workers {
+                if entry.standing != Standing::Gone && !there.contains(id.as_str()) {
+                    (entry.standing, entry.changed) = (Standing::Gone, number);
+                }
+            }
+        }
+        for worker in list.iter().filter(|w| w.id.len() <= ID) {
+            let new = Entry { standing: worker.standing, start: worker.start, changed: number };
+            let room = self.workers.len() < self.most + GONE;
+            match self.workers.get_mut(&worker.id) {
+                Some(old) if (old.standing, old.start) == (new.standing, new.start) => {}
+                Some(old) => *old = new,
+                None if room => {
+                    self.workers.insert(worker.id.clone(), new);
+                }
+                None => self.not_used += 1,
+            }
+        }
+        let gone = self.workers.iter().filter(|(_, e)| e.standing == Standing::Gone);
+        let mut gone: Vec<(u64, String)> = gone.map(|(id, e)| (e.changed, id.clone())).collect();
+        gone.sort();
+        gone.iter().rev().skip(GONE).for_each(|(_, id)| {
+            self.workers.remove(id);
+        });
+        (self.number, self.told) = (number, told);
+    }
+
+    /// The parts that bring a peer from its list to the one that is held.
+    pub fn parts(&self, now: Micros, theirs: ListNumber) -> Vec<ListPart> {
+        if theirs.director != self.held().director || theirs.number >= self.number {
+            return Vec::new();
+        }
+        let base = theirs.number;
+        let changed = self
+            .workers
+            .iter()
+            .filter(|(_, e)| e.changed > base && (base > 0 || e.standing != Standing::Gone));
+        let mut parts: Vec<Vec<Worker>> = vec![Vec::new()];
+        let mut size = 0;
+        for (id, Entry { standing, start, .. }) in changed {
+            size += id.len() + 9;
+            if size > PART {
+                parts.push(Vec::new());
+                size = id.len() + 9;
+            }
+            let worker = Worker { id: id.clone(), standing: *standing, start: *start };
+            parts.last_mut().into_iter().for_each(|part| part.push(worker.clone()));
+        }
+        let Ok(of) = u8::try_from(parts.len()) else { return Vec::new() };
+        let age = now.saturating_sub(self.told) / 1_000;
+        let part = |(part, workers)| ListPart {
+            director: self.director.clone(),
+            base,
+            number: self.number,
+            age,
+            part,
+            of,
+            workers,
+        };
+        (0..of).zip(parts).map(part).collect()
+    }
+
+    /// A part of a peer's list came.
+    pub fn hear(&mut self, now: Micros, part: ListPart) -> Vec<News> {
+        let ListPart { director, base, number, age, part, of, workers } = part;
+        let age = age.saturating_mul(1_000);
+        let fits = part < of && workers.len() <= self.most + GONE && workers.iter().all(|w| w.id.len() <= ID);
+        if director != self.director || number <= self.number || age > self.oldest || !fits {
+            self.not_used += 1;
+            return Vec::new();
+        }
+        // A list that lacks what came before can't be taken over, but its drains can be heard.
+        let mut news = self.careful(number, age, &workers);
+        if base > self.number {
+            return news;
+        }
+        let told = now.saturating_sub(age);
+        let same = |c: &Coming| (c.base, c.number, c.of) == (base, number, of);
+        let mut coming = match self.coming.take() {
+            Some(coming) if same(&coming) => coming,
+            // A newer one is on its way already.
+            Some(coming) if coming.number > number && coming.base <= self.number => {
+                self.coming = Some(coming);
+                return news;
+            }
+            _ => Coming { base, number, of, told, seen: BTreeSet::new(), workers: Vec::new() },
+        };
+        if coming.seen.insert(part) {
+            coming.workers.extend(workers);
+        }
+        if coming.workers.len() > self.most + GONE {
+            self.not_used += 1;
+        } else if coming.seen.len() < usize::from(of) {
+            self.coming = Some(coming);
+        } else {
+            if base == 0 {
+                let there: BTreeSet<&str> = coming.workers.iter().map(|w| w.id.as_str()).collect();
+                let gone = self
+                    .workers
+                    .iter()
+                    .filter(|(id, e)| e.standing != Standing::Gone && !there.contains(id.as_str()));
+                let standing = Standing::Gone;
+                let leaving =
+                    |(id, _): (&String, _)| News::Leaving { worker: id.clone(), standing, number, age };
+                news.extend(gone.map(leaving));
+            }
+            self.take(coming.told, number, base, &coming.workers);
+            news.push(News::Whole { number, age });
+        }
+        news
+    }
+
+    /// What of a newer list makes more careful. Workers that the own list does not have are no news: no
+    /// job goes to them.
+    fn careful(&self, number: u64, age: Micros, workers: &[Worker]) -> Vec<News> {
+        let mut news = Vec::new();
+        for Worker { id, standing, start } in workers {
+            let Some(own) = self.workers.get(id) else { continue };
+            if *standing > own.standing {
+                news.push(News::Leaving { worker: id.clone(), standing: *standing, number, age });
+            }
+            if *start > own.start {
+                news.push(News::Colder { worker: id.clone(), start: *start });
+            }
+        }
+        news
+    }
+
+    /// The list that is held: its number, how old it is, and its workers by id. None before any.
+    pub fn list(&self, now: Micros) -> Option<(u64, Micros, Vec<Worker>)> {
+        let there = self.workers.iter().filter(|(_, e)| e.standing != Standing::Gone);
+        let worker =
+            |(id, e): (&String, &Entry)| Worker { id: id.clone(), standing: e.standing, start: e.start };
+        (self.number > 0).then(|| (self.number, now.saturating_sub(self.told), there.map(worker).collect()))
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/fleet/membership.rs
@@ -0,0 +1,103 @@
+//! Who is there, under partial failure.
+
+use crate::world::{World, MS, S, START};
+
+/// A fleet in which everybody knows everybody, and how long that took.
+pub fn joined(n: usize, seed: u64) -> (World, u64) {
+    let mut world = World::new(n, seed, |_| ());
+    let took = world.until(30 * S, "all know all", World::all_know_all);
+    world.run(2 * S);
+    (world, took)
+}
+
+#[test]
+fn three_hundred_start_one_is_killed_and_the_others_know_within_5_s() {
+    for seed in [1, 2, 3] {
+        let (mut world, took) = joined(300, seed);
+        let start = world.now;
+        let dead = world.slots[17].node.as_ref().expect("alive").rows().me().clone();
+        world.kill(17);
+        let known = world.until(5 * S, "the others know", World::all_know_all);
+        println!("seed {seed}: 300 know all after {} ms; a kill after {} ms", took / MS, known / MS);
+        assert!(world.deaths(start).iter().all(|(_, _, owner)| *owner == dead));
+    }
+}
+
+#[test]
+fn nobody_who_answers_is_declared_dead_with_a_fifth_of_the_datagrams_lost() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(60, seed);
+        let start = world.now;
+        world.loss = 200;
+        world.run(60 * S);
+        let suspected = world.told.iter().filter(|(_, _, t)| matches!(t, crate::world::Told::Suspected(_)));
+        println!("seed {seed}: {} suspicions, {} dead", suspected.count(), world.deaths(start).len());
+        assert_eq!(world.deaths(start).len(), 0, "{}", world.list(start));
+    }
+}
+
+#[test]
+fn who_stood_still_for_3_s_accuses_nobody_and_is_back() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(60, seed);
+        let start = world.now;
+        world.stall(9, 3 * S);
+        world.run(3 * S);
+        let back = world.until(5 * S, "all know all", World::all_know_all);
+        world.run(10 * S);
+        assert!(world.all_know_all(), "it stays");
+        let name = &world.slots[9].name;
+        println!("seed {seed}: back after {} ms", back / MS);
+        assert!(world.deaths(start).iter().all(|(_, _, owner)| *owner.name == **name), "others accused");
+    }
+}
+
+#[test]
+fn a_pair_cut_one_way_or_both_is_not_dead_as_others_reach_both() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(30, seed);
+        let start = world.now;
+        world.cut.insert((3, 4));
+        world.run(20 * S);
+        world.cut.insert((4, 3));
+        world.run(20 * S);
+        assert_eq!(world.deaths(start), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn a_third_is_killed_at_once() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(99, seed);
+        let start = world.now;
+        (0..99).step_by(3).for_each(|i| world.kill(i));
+        let known = world.until(15 * S, "the rest know", World::all_know_all);
+        println!("seed {seed}: the rest know after {} ms", known / MS);
+        let alive: Vec<_> = world.alive().map(|(_, node)| node.rows().me().clone()).collect();
+        assert!(world.deaths(start).iter().all(|(_, _, owner)| !alive.contains(owner)));
+    }
+}
+
+#[test]
+fn a_name_comes_back_with_an_empty_memory() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(30, seed);
+        // At once, so that nobody has missed it yet; and after it was declared dead.
+        for pause in [100 * MS, 10 * S] {
+            world.kill(5);
+            world.run(pause);
+            world.start(5);
+            let took = world.until(5 * S, "all know the new life", World::all_know_all);
+            println!("seed {seed}: known again after {} ms", took / MS);
+            world.run(5 * S);
+            assert!(world.all_know_all());
+        }
+    }
+}
+
+#[test]
+fn five_hundred_find_one_another() {
+    let (world, took) = joined(500, 1);
+    println!("500 know all after {} ms", took / MS);
+    assert_eq!(world.deaths(START), []);
+}
--- /dev/null
+++ b/crates/peers/tests/fleet/rows.rs
@@ -0,0 +1,85 @@
+//! The shared rows, under partial failure.
+
+use std::collections::BTreeMap;
+
+use oakshed_peers::rows::Owner;
+
+use crate::membership::joined;
+use crate::world::{World, MS, S};
+
+type Reading = BTreeMap<(Owner, u32, Vec<u8>), Vec<u32>>;
+
+/// The join of all that anybody holds.
+fn union(world: &World) -> Reading {
+    let mut all = Reading::new();
+    for (key, counts) in world.alive().flat_map(|(_, node)| World::reading(node)) {
+        let kept = all.entry(key).or_default();
+        kept.resize(kept.len().max(counts.len()), 0);
+        kept.iter_mut().zip(counts).for_each(|(kept, new)| *kept = (*kept).max(new));
+    }
+    all
+}
+
+fn holds(reading: &Reading, wanted: &Reading) -> bool {
+    wanted.iter().all(|(key, counts)| {
+        reading.get(key).is_some_and(|held| {
+            counts.iter().enumerate().all(|(i, n)| held.get(i).copied().unwrap_or(0) >= *n)
+        })
+    })
+}
+
+#[test]
+fn halves_that_were_split_for_10_s_agree_within_5_s_at_100_members() {
+    for seed in [1, 2, 3] {
+        let (mut world, _) = joined(100, seed);
+        world.load = 1;
+        world.run(10 * S);
+        world.split(|i| i % 2 == 0);
+        world.run(10 * S);
+        let wanted = union(&world);
+        world.heal();
+        // Rows are raised on; what is wanted is all that there was when the partition healed.
+        let took = world.until(5 * S, "both sides agree", |world| {
+            world.alive().all(|(_, node)| holds(&World::reading(node), &wanted))
+        });
+        let members = world.until(30 * S, "all know all", World::all_know_all);
+        println!(
+            "seed {seed}: rows agree {} ms after the heal, members {} ms later",
+            took / MS,
+            members / MS
+        );
+    }
+}
+
+#[test]
+fn rows_reach_all_with_a_fifth_of_the_datagrams_lost_and_outlive_their_owner() {
+    let (mut world, _) = joined(30, 5);
+    world.loss = 200;
+    world.load = 2;
+    world.run(5 * S);
+    world.load = 0;
+    let took = world.until(10 * S, "all agree", World::all_agree);
+    println!("30 agree {} ms after the last raise", took / MS);
+    let before = union(&world);
+    let dead = world.slots[7].node.as_ref().expect("alive").rows().me().clone();
+    world.kill(7);
+    world.run(10 * S);
+    world.start(7);
+    world.until(20 * S, "the new life has the rows of the old one", |world| {
+        let node = world.slots[7].node.as_ref();
+        node.is_some_and(|node| holds(&World::reading(node), &before))
+    });
+    assert!(before.keys().any(|(owner, ..)| *owner == dead));
+    assert!(world.alive().all(|(_, node)| holds(&World::reading(node), &before)));
+}
+
+#[test]
+fn nothing_is_dropped_or_refused_among_honest_members() {
+    let (mut world, _) = joined(30, 6);
+    world.load = 3;
+    world.run(20 * S);
+    for (i, node) in world.alive() {
+        assert_eq!(node.dropped().total(), 0, "n{i}: {:?}", node.dropped());
+        assert_eq!(node.rows().refused(), Default::default(), "n{i}");
+    }
+}
