Schedulers share over UDP where the operator's file has peers; five real processes show it

The state machine of oakshed-peers needs a socket, a timer, a key and a file; off without its entry: no socket, no task. A key that others can read, an address that others cannot reach and the schema's faults are refused with place and reason by check and serve. What peers know of the list only makes more careful: a drain or an end is taken over for workers that the own list has, a later start counts, ready workers of others are left alone. Taking a whole list from peers at a cold start was left out: it belongs to the calls of the director.

--- a/crates/server/src/net/director.rs
+++ b/crates/server/src/net/director.rs
@@ -17,7 +17,7 @@
 use tracing::{info, warn};
 
 use super::backends::Link;
-use super::{durable, Net};
+use super::{durable, peers, Net};
 use crate::list::Answer;
 use oakshed_core::facade::{Entry, ListKind, Seen};
 
@@ -56,6 +56,9 @@
     net.held.borrow_mut().update(answer, kind != ListKind::Changes);
     net.report(Seen::List(kind, &entries));
     durable::list(net, &entries, kind);
+    if kind != ListKind::Remembered {
+        peers::listed(net);
+    }
     if !entries.is_empty() {
         let (number, ready) = (answer.generation, net.backends.ready_count());
         info!(number, ready, "list {number} ({kind:?}): {} entries, {ready} backends ready", entries.len());
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod durable;
 pub mod front;
 mod handover;
+mod peers;
 mod reader;
 
 use std::cell::{Cell, RefCell};
@@ -142,6 +143,8 @@
     pub ledger: Ledger,
     /// Durable jobs, where the operators have switched them on.
     pub durable: Option<durable::Durable>,
+    /// What schedulers share, where the operators have switched that on.
+    pub peers: Option<peers::Peers>,
 }
 
 impl Net {
@@ -163,6 +166,7 @@
             held: RefCell::default(),
             ledger: Ledger::new(config.settings.classes.len()),
             durable,
+            peers: None,
             config,
         }
     }
@@ -218,6 +222,7 @@
     let clock = Clock::new();
     // Before the hand-over: two processes can't have one store, and the old one must not be disturbed.
     let (durable, told) = durable::open(&config, clock.now())?;
+    let peers = peers::open(&config, clock.now())?;
     let folder = handover::Folder::open(config.tmp.as_deref(), config.listen).map(Rc::new);
     let (listener, before) = match folder.as_ref().and_then(|f| handover::take_over(f, config.listen)) {
         Some(taken) => {
@@ -228,7 +233,9 @@
         None => (front::listen(config.listen, folder.is_some())?, None),
     };
     durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
-    let net = Rc::new(Net::new(config, clock, facade, durable));
+    let mut net = Net::new(config, clock, facade, durable);
+    net.peers = peers;
+    let net = Rc::new(net);
     let (listen, Config { name, director, sockets, .. }) = (listener.local_addr()?, &net.config);
     info!(%listen, %director, sockets, "{name} listens on {listen}, director {director}, {sockets} sockets");
     tokio::task::spawn_local(durable::run(net.clone(), told));
@@ -236,6 +243,9 @@
         bans::start(&net, folder);
     }
     director::remember(&net);
+    if net.peers.is_some() {
+        tokio::task::spawn_local(peers::run(net.clone()));
+    }
     net.ready.set(true);
     tokio::task::spawn_local(run_timer(net.clone()));
     tokio::task::spawn_local(director::run(net.clone()));
--- /dev/null
+++ b/crates/server/tests/peers.rs
@@ -0,0 +1,146 @@
+//! Real processes that share: one is killed, one comes back under its name, one stands still, one hears
+//! of a drain from another.
+
+use std::io::{BufRead as _, BufReader};
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::fs::PermissionsExt as _;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use oakshed_standin::*;
+
+/// One scheduler, its files and its log.
+struct Scheduler {
+    name: String,
+    child: Child,
+    log: Arc<Mutex<String>>,
+}
+
+/// A folder for the files of one test, removed at its end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("oakshed-peers-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        let key = path.join("key");
+        std::fs::write(&key, "a key that only its owner reads\n").expect("written");
+        std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).expect("set");
+        Folder(path)
+    }
+
+    fn operator(&self, i: usize, at: &[SocketAddr]) -> PathBuf {
+        let path = self.0.join(format!("operator-{i}.json"));
+        let join: Vec<String> = at.iter().take(3).map(|at| format!("\"{at}\"")).collect();
+        let text = format!(
+            r#"{{"peers":{{"listen":"{}","join":[{}],"installation":"test","key_file":"{}","dir":"{}"}}}}"#,
+            at[i],
+            join.join(","),
+            self.0.join("key").display(),
+            self.0.display(),
+        );
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Addresses that nobody else uses: all are held before any is given back.
+fn addresses(n: usize) -> Vec<SocketAddr> {
+    let held: Vec<UdpSocket> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
+    held.iter().map(|socket| socket.local_addr().expect("its address")).collect()
+}
+
+impl Scheduler {
+    fn start(folder: &Folder, director: &Director, i: usize, at: &[SocketAddr]) -> Scheduler {
+        let name = format!("p{i}");
+        let config = config(director.peer.address, "null", 1024);
+        let kept = folder.0.join(format!("config-{i}.json"));
+        std::fs::rename(&config, &kept).or_else(|_| std::fs::copy(&config, &kept).map(drop)).expect("moved");
+        let mut child = Command::new(Program::binary())
+            .args(["serve", "--log-format", "json", "--operator"])
+            .arg(folder.operator(i, at))
+            .env("ROUTER_CONFIG", kept)
+            .env("ROUTER_NAME", &name)
+            .env_remove("TMPDIR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (to, from) = (log.clone(), BufReader::new(child.stderr.take().expect("piped")));
+        std::thread::spawn(move || {
+            from.lines().map_while(Result::ok).for_each(|line| *to.lock().unwrap() += &(line + "\n"))
+        });
+        Scheduler { name, child, log }
+    }
+
+    /// How many lines tell of an event with a field.
+    fn told(&self, event: &str, field: &str, value: &str) -> usize {
+        let log = self.log.lock().unwrap();
+        let (event, field) = (format!("\"event\":\"{event}\""), format!("\"{field}\":\"{value}\""));
+        log.lines().filter(|line| line.contains(&event) && line.contains(&field)).count()
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        // A stopped process dies of SIGKILL as well.
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+#[test]
+fn five_know_of_one_another_of_a_kill_a_restart_and_a_standstill() {
+    let director = Director::new(&[("s-1", good().address)]);
+    let (folder, at) = (Folder::new("five"), addresses(5));
+    let mut all: Vec<Scheduler> = (0..5).map(|i| Scheduler::start(&folder, &director, i, &at)).collect();
+    let others_told = |all: &[Scheduler], event: &str, i: usize, times: usize| {
+        let name = format!("p{i}");
+        all.iter().filter(|s| s.name != name).all(|s| s.told(event, "member", &name) >= times)
+    };
+    until("all joined", || (0..5).all(|i| others_told(&all, "joined", i, 1)));
+    all[4].child.kill().expect("SIGKILL");
+    all[4].child.wait().expect("its end");
+    until("the kill is known", || others_told(&all, "dead", 4, 1));
+    all[4] = Scheduler::start(&folder, &director, 4, &at);
+    until("the new life is known", || others_told(&all, "joined", 4, 2));
+    until("it knows the others", || (0..4).all(|i| all[4].told("joined", "member", &format!("p{i}")) >= 1));
+    all[1].signal("-STOP");
+    until("the standstill is noticed", || others_told(&all, "dead", 1, 1));
+    all[1].signal("-CONT");
+    until("it is back", || others_told(&all, "joined", 1, 2));
+    // Nobody who answered was declared dead, by the one that stood still neither.
+    for i in [0, 2, 3] {
+        assert!(all.iter().all(|s| s.told("dead", "member", &format!("p{i}")) == 0), "p{i}");
+    }
+    assert!(all.iter().all(|s| !s.log.lock().unwrap().contains("bad peers")), "no bad peers");
+}
+
+#[test]
+fn a_key_that_others_can_read_is_refused_with_place_and_reason() {
+    let folder = Folder::new("key");
+    let operator = folder.operator(0, &addresses(1));
+    let check = || {
+        let mut command = Command::new(Program::binary());
+        let out = command.arg("check").arg("--operator").arg(&operator).env_remove("ROUTER_CONFIG").output();
+        let out = out.expect("run");
+        (out.status.success(), String::from_utf8(out.stderr).expect("text"))
+    };
+    assert!(check().0);
+    let open = std::fs::Permissions::from_mode(0o644);
+    std::fs::set_permissions(folder.0.join("key"), open).expect("set");
+    let (right, told) = check();
+    assert!(!right && told.contains("/peers/key_file") && told.contains("mode 644"), "{told}");
+}
