crates/quarantine: shared evidence, a sequential test and proposals, with an evaluation

A scheduler of many sees a worker too seldom to tell that it fails, and plain ways (failures in a row, mean less 1.9 deviations) blame workers for what a path, a class or a scheduler does. Not taken: retries as a stratum (only first tries count).

--- /dev/null
+++ b/crates/quarantine/src/code.rs
@@ -0,0 +1,152 @@
+//! How evidence is written in rows: a list's names as numbers, tries as gaps, failures one row a cell.
+//!
+//! It owns the bytes. It must never read a row against names other than those it was written with, nor
+//! panic on bytes that a stranger made.
+
+use std::sync::Arc;
+
+use sha2::{Digest, Sha256};
+
+use crate::{Worker, KINDS};
+
+/// The most cells in a row of tries: two counts each and one at the end stay below 64.
+const CHUNK: usize = 31;
+/// The tags; the lowest bit is the half of the window.
+const TRIES: u8 = 2;
+const FAILS: u8 = 4;
+/// The tag of proposals.
+pub(crate) const PROPOSAL: u8 = 6;
+
+/// The names that rows refer to by number: workers and halls by name, classes as in the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Names {
+    pub(crate) workers: Vec<Arc<str>>,
+    pub(crate) halls: Vec<Arc<str>>,
+    pub(crate) classes: usize,
+    /// Tells one set of names from another; two bytes of SHA-256.
+    pub(crate) digest: [u8; 2],
+}
+
+impl Names {
+    /// The names of a list.
+    pub fn new(workers: &[Worker], classes: &[Arc<str>], own_hall: &Arc<str>) -> Names {
+        let mut names: Vec<Arc<str>> = workers.iter().map(|w| w.name.clone()).collect();
+        let mut halls: Vec<Arc<str>> = workers.iter().map(|w| w.hall.clone()).collect();
+        halls.push(own_hall.clone());
+        names.sort();
+        names.dedup();
+        halls.sort();
+        halls.dedup();
+        let mut hash = Sha256::new();
+        for (tag, list) in [(b'w', &names), (b'h', &halls)] {
+            list.iter().for_each(|n| hash.update([&[tag], n.as_bytes(), &[0]].concat()));
+        }
+        classes.iter().for_each(|c| hash.update([b"c", c.as_bytes(), &[0]].concat()));
+        let hash = hash.finalize();
+        Names { workers: names, halls, classes: classes.len().clamp(1, 32), digest: [hash[0], hash[1]] }
+    }
+
+    /// The number of a worker's cell for a class; nothing where either is not known.
+    pub(crate) fn cell(&self, worker: &str, class: usize) -> Option<u32> {
+        let at = self.workers.binary_search_by(|w| (**w).cmp(worker)).ok()?;
+        (class < self.classes).then(|| (at * self.classes + class) as u32)
+    }
+
+    pub(crate) fn hall(&self, hall: &str) -> Option<u8> {
+        self.halls.binary_search_by(|h| (**h).cmp(hall)).ok().and_then(|at| u8::try_from(at).ok())
+    }
+}
+
+/// What a row of evidence says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Told {
+    /// 0 or 1: the half of the window.
+    pub(crate) half: u32,
+    pub(crate) hall: u8,
+    /// By cell: tries, failures by kind.
+    pub(crate) cells: Vec<(u32, u32, [u32; KINDS])>,
+}
+
+/// The rows of tries of one half: cells in order, one in `coarse` tries told.
+pub(crate) fn tries(
+    names: &Names,
+    half: u32,
+    hall: u8,
+    coarse: u8,
+    cells: &[(u32, u32)],
+) -> Vec<(Vec<u8>, Vec<u32>)> {
+    let mut rows = Vec::new();
+    // Most counts are one where there are many schedulers: the low bit says whether a count follows.
+    for (chunk, cells) in cells.chunks(CHUNK).enumerate() {
+        let Ok(chunk) = u8::try_from(chunk) else { break };
+        let mut counts = Vec::new();
+        let mut next = 0;
+        for &(cell, n) in cells {
+            let gap = cell - next;
+            next = cell + 1;
+            counts.push(gap * 2 + u32::from(n > 1));
+            if n > 1 {
+                counts.push(n);
+            }
+        }
+        // A gap of nothing at the end would be left out as a zero.
+        counts.push(1);
+        let [a, b] = names.digest;
+        rows.push((vec![TRIES | half as u8, hall, a, b, coarse, chunk], counts));
+    }
+    rows
+}
+
+/// The subject of a cell's row of failures.
+pub(crate) fn fail(names: &Names, half: u32, hall: u8, cell: u32) -> Vec<u8> {
+    let [a, b] = names.digest;
+    let mut subject = vec![FAILS | half as u8, hall, a, b];
+    subject.extend(cell.to_be_bytes().into_iter().skip_while(|b| *b == 0));
+    subject
+}
+
+/// The bytes of a row as it is passed on: version, table, window, lengths, subject, counts as varints.
+pub(crate) fn cost(subject: &[u8], counts: &[u32]) -> u32 {
+    let varint = |n: u32| (32 - n.max(1).leading_zeros()).div_ceil(7);
+    10 + subject.len() as u32 + counts.iter().map(|c| varint(*c)).sum::<u32>()
+}
+
+/// The digest of the names that a row was written with; nothing where it is no row of evidence.
+pub(crate) fn digest(subject: &[u8]) -> Option<[u8; 2]> {
+    match subject {
+        [tag, _, a, b, ..] if [TRIES, FAILS].contains(&(tag & !1)) => Some([*a, *b]),
+        _ => None,
+    }
+}
+
+/// Reads a row of evidence against the names it was written with.
+pub(crate) fn read(names: &Names, subject: &[u8], counts: &[u32]) -> Option<Told> {
+    let [tag, hall, a, b, rest @ ..] = subject else { return None };
+    if [*a, *b] != names.digest || usize::from(*hall) >= names.halls.len() {
+        return None;
+    }
+    let all = (names.workers.len() * names.classes) as u32;
+    let mut cells = Vec::new();
+    match (tag & !1, rest) {
+        (TRIES, [coarse, _chunk]) if *coarse < 16 => {
+            let (mut next, mut counts) = (0_u32, counts.split_last()?.1.iter());
+            while let Some(&gap) = counts.next() {
+                let n = if gap & 1 == 1 { *counts.next()? } else { 1 };
+                let cell = next.checked_add(gap / 2).filter(|c| *c < all)?;
+                next = cell + 1;
+                cells.push((cell, n.min(1 << 20) << *coarse.min(&10), [0; KINDS]));
+            }
+        }
+        (FAILS, digits) if digits.len() <= 4 => {
+            let cell = digits.iter().fold(0_u32, |n, d| n << 8 | u32::from(*d));
+            if cell >= all || counts.len() > KINDS {
+                return None;
+            }
+            let mut kinds = [0; KINDS];
+            kinds.iter_mut().zip(counts).for_each(|(k, c)| *k = (*c).min(1 << 20));
+            cells.push((cell, 0, kinds));
+        }
+        _ => return None,
+    }
+    Some(Told { half: u32::from(tag & 1), hall: *hall, cells })
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,6 +1,142 @@
 //! Quarantine proposals: workers whose jobs fail more often than their peers'.
 //!
 //! It owns the evidence and the proposals made from it. It must never act: staff exclude a worker, or do not.
+//! Time (microseconds of Unix time) and the seed are passed in; rows and effects come out as values.
+
+mod blame;
+mod code;
+mod counter;
+mod detector;
+mod judge;
+mod machine;
+mod proposals;
+mod store;
+pub mod trial;
+
+use std::sync::Arc;
+
+pub use code::Names;
+pub use counter::{Counter, Raise};
+pub use detector::{log_evidence, threshold};
+pub use machine::Quarantine;
+pub use oakshed_peers::{rows::Owner, Micros};
+pub use proposals::{Effect, Figures, Reason};
 
 /// The table of shared rows that holds tries and their ends by worker.
 pub const TABLE: u8 = 2;
+
+/// How many kinds of failure there are.
+pub const KINDS: usize = 6;
+
+/// How a job's first try on a worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered as it should be.
+    Answered,
+    /// The worker said that it failed.
+    Error,
+    /// The connection broke with the job on it.
+    Reset,
+    /// No answer in time.
+    Silent,
+    /// No connection came about.
+    NoConnection,
+    /// The worker began too late.
+    LateStart,
+    /// A second answer came for a job that had ended: a failure without a try of its own.
+    SecondAnswer,
+}
+
+impl Outcome {
+    /// The place among the kinds of failure; nothing for an answer.
+    pub fn kind(self) -> Option<usize> {
+        match self {
+            Outcome::Answered => None,
+            Outcome::Error => Some(0),
+            Outcome::Reset => Some(1),
+            Outcome::Silent => Some(2),
+            Outcome::NoConnection => Some(3),
+            Outcome::LateStart => Some(4),
+            Outcome::SecondAnswer => Some(5),
+        }
+    }
+}
+
+/// What a worker is doing, as the list and staff have it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Started lately, on its ramp.
+    Cold,
+    /// In full use: the only state in which its failures are evidence.
+    Ready,
+    /// On its way out.
+    Draining,
+    /// Taken out by staff.
+    Excluded,
+}
+
+/// A worker as the list names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worker {
+    /// Its name in the list.
+    pub name: Arc<str>,
+    /// Its hall.
+    pub hall: Arc<str>,
+    /// How many jobs it takes at a time.
+    pub capacity: u32,
+    /// When this start of it began, in milliseconds of Unix time.
+    pub started: u64,
+    /// What it is doing.
+    pub state: State,
+}
+
+/// The settings; the same on every member except `me` and `hall`.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This life of this member.
+    pub me: Owner,
+    /// This member's hall.
+    pub hall: Arc<str>,
+    /// The classes by name, at most 32, in the settings' order.
+    pub classes: Vec<Arc<str>>,
+    /// The length of a window of the shared rows, in microseconds. Evidence is taken in halves of it.
+    pub window: Micros,
+    /// How many windows count.
+    pub keep: u32,
+    /// How long rows of a half that ended are waited for, in microseconds.
+    pub grace: Micros,
+    /// How long after its start a worker counts as cold whatever its state says, in microseconds.
+    pub warmup: Micros,
+    /// At most one false proposal in this many worker-hours.
+    pub worker_hours: f64,
+    /// Proposals and exclusions stay at or under this share of a hall's capacity.
+    pub share: f64,
+    /// What the rows of all members may take, in bytes a second into each member.
+    pub bytes: u32,
+    /// The most cells of evidence that are held (a cell: half window, worker, member, class).
+    pub cells: usize,
+}
+
+impl Config {
+    /// The defaults for a member.
+    pub fn new(me: Owner, hall: &str, classes: &[&str]) -> Config {
+        Config {
+            me,
+            hall: hall.into(),
+            classes: classes.iter().map(|&c| c.into()).collect(),
+            window: 10_000_000,
+            keep: 60,
+            grace: 2_000_000,
+            warmup: 60_000_000,
+            worker_hours: 1_000.0,
+            share: 0.2,
+            bytes: 4_096,
+            cells: 400_000,
+        }
+    }
+
+    /// The half window (slot) of a moment.
+    pub fn slot(&self, at: Micros) -> u32 {
+        u32::try_from(at / (self.window / 2).max(1)).unwrap_or(u32::MAX)
+    }
+}
