crates/prewarm: warm by the rate of the next job, learned from shared counts of arrivals

The machine learns the fleet's gaps from arrivals by kind and second (shared rows), splits them by how many jobs ran at once, and keeps or loads a worker wherever the rate of the next job is at least the price of keeping it. Merged gap histograms were ruled out: the gap that one member sees is not the fleet's.

--- /dev/null
+++ b/crates/prewarm/src/gaps.rs
@@ -0,0 +1,138 @@
+//! The time between jobs as a fading histogram of fixed logarithmic buckets, and the rate of the next job
+//! at each age since the last (the hazard).
+//!
+//! It owns buckets and weights. It must never know of kinds, workers or prices other than as numbers.
+
+use serde::{Deserialize, Serialize};
+
+/// Buckets of one second below this many seconds; sixteen an octave above.
+const LINEAR: usize = 8;
+const OCTAVE: usize = 16;
+/// The number of buckets: up to 2^17 s, a day and a half.
+pub const BUCKETS: usize = LINEAR + 14 * OCTAVE;
+/// The sixteenth root of two.
+const STEP: f64 = 1.044_273_782_427_413_8;
+
+/// The edges of the buckets in seconds of age; bucket `b` is from `edges()[b]` to `edges()[b + 1]`.
+pub fn edges() -> &'static [f64; BUCKETS + 1] {
+    static EDGES: std::sync::OnceLock<[f64; BUCKETS + 1]> = std::sync::OnceLock::new();
+    EDGES.get_or_init(|| {
+        let mut edges = [0.0; BUCKETS + 1];
+        let mut octave = LINEAR as f64;
+        for (b, edge) in edges.iter_mut().enumerate() {
+            if b < LINEAR {
+                *edge = b as f64;
+                continue;
+            }
+            let within = (b - LINEAR) % OCTAVE;
+            if within == 0 && b > LINEAR {
+                octave *= 2.0;
+            }
+            *edge = octave * STEP.powi(within as i32);
+        }
+        edges
+    })
+}
+
+/// The bucket of an age in seconds.
+pub fn bucket(age: f64) -> usize {
+    edges().partition_point(|edge| *edge <= age).clamp(1, BUCKETS) - 1
+}
+
+/// Gaps with their weights; older ones fade with each new one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Gaps {
+    weight: Vec<f32>,
+    total: f64,
+    /// How many were counted, faded ones included.
+    pub seen: u64,
+}
+
+/// How much each scale counts against the next coarser one, in events.
+const SCALES: [(usize, f64); 3] = [(OCTAVE, 1.0), (4, 1.0), (1, 1.0)];
+/// How many events the plain keep-alive counts for.
+const PLAIN: f64 = 1.0;
+
+impl Gaps {
+    /// Counts one gap, in seconds; what was before keeps `1 - 1 / memory` of its weight.
+    pub fn count(&mut self, gap: f64, memory: f64) {
+        self.weight.resize(BUCKETS, 0.0);
+        let keep = 1.0 - 1.0 / memory.max(2.0);
+        self.weight.iter_mut().for_each(|w| *w *= keep as f32);
+        self.weight[bucket(gap)] += 1.0;
+        self.total = self.total * keep + 1.0;
+        self.seen += 1;
+    }
+
+    /// Whether what was read from outside can have been counted.
+    pub fn sound(&self) -> bool {
+        let weights = self.weight.iter().all(|w| w.is_finite() && *w >= 0.0);
+        weights && matches!(self.weight.len(), 0 | BUCKETS) && self.total.is_finite()
+    }
+
+    /// The weight of all that is remembered: about the number of gaps, at most the memory.
+    pub fn total(&self) -> f64 {
+        self.total
+    }
+
+    /// The weight of the gaps that were longer than an age, in seconds.
+    pub fn beyond(&self, age: f64) -> f64 {
+        self.weight.iter().skip(bucket(age) + 1).map(|w| f64::from(*w)).sum()
+    }
+
+    /// The rate of the next job in each bucket of age, per second. What is seen at a fine scale counts
+    /// against the coarser one around it, and all of it against `plain / age`, the rate that the plain
+    /// keep-alive assumes: with nothing seen that is what remains.
+    pub fn hazard(&self, plain: f64) -> Vec<f32> {
+        let edges = edges();
+        let (mut events, mut exposure) = (vec![0.0; BUCKETS], vec![0.0; BUCKETS]);
+        let mut later = 0.0;
+        for b in (0..self.weight.len()).rev() {
+            let width = edges[b + 1] - edges[b];
+            events[b] = f64::from(self.weight[b]);
+            exposure[b] = later * width + events[b] * width / 2.0;
+            later += events[b];
+        }
+        let mut rate: Vec<f64> =
+            (0..BUCKETS).map(|b| plain / ((edges[b] + edges[b + 1]) / 2.0).max(0.5)).collect();
+        let mut prior = PLAIN;
+        for (size, weight) in SCALES {
+            for block in (0..BUCKETS).step_by(size) {
+                let range = block..(block + size).min(BUCKETS);
+                let (n, e): (f64, f64) =
+                    range.clone().fold((0.0, 0.0), |(n, e), b| (n + events[b], e + exposure[b]));
+                // Each bucket keeps its part of the coarser rate: a block that fell steadily still does.
+                let expected: f64 = range.clone().map(|b| exposure[b] * rate[b]).sum();
+                let ratio = if e > 0.0 { (n + prior) / (expected + prior) } else { 1.0 };
+                range.for_each(|b| rate[b] *= ratio);
+            }
+            prior = weight;
+        }
+        rate.into_iter().map(|r| r as f32).collect()
+    }
+}
+
+/// A stretch of age in which a worker should be warm, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stretch {
+    /// From this age on.
+    pub from: f64,
+    /// Until this age.
+    pub to: f64,
+}
+
+/// The stretches in which the rate is at least `price`; those nearer than `bridge` seconds are one, as
+/// loading again costs as much as keeping.
+pub fn stretches(rate: &[f32], price: f64, bridge: f64) -> Vec<Stretch> {
+    let edges = edges();
+    let mut out: Vec<Stretch> = Vec::new();
+    for (b, rate) in rate.iter().enumerate().filter(|(_, r)| f64::from(**r) >= price) {
+        debug_assert!(*rate >= 0.0);
+        let (from, to) = (edges[b], edges[b + 1]);
+        match out.last_mut() {
+            Some(last) if from - last.to <= bridge => last.to = to,
+            _ => out.push(Stretch { from, to }),
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/prewarm/src/machine.rs
@@ -0,0 +1,357 @@
+//! The state machine of prewarming: arrivals, rows, members, workers and time go in; calls come out.
+//!
+//! It owns the plan of each kind: which levels should be warm until when. It must never speak for a kind that
+//! another member answers for. Every member plans all kinds from the same rows, so that whoever takes over
+//! knows, and the bounds hold for all of them together.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::hold::{Holds, Refusal, Wish};
+use crate::learn::{Learned, Likelihood};
+use crate::place::{Kind, Worker};
+use crate::slots::{Slots, SLOT, WINDOW};
+use crate::{Config, Micros, SECOND};
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Ask a worker to load a class if it has not, and to keep it for that long from now, in milliseconds,
+    /// or longer if it was asked for longer. Repeated it changes nothing.
+    Prepare {
+        /// The worker's name.
+        worker: Arc<str>,
+        /// The class.
+        class: Arc<str>,
+        /// How long, in milliseconds.
+        keep_ms: u64,
+    },
+}
+
+/// A raise of an own shared row: the window, the subject, the index of the count and what to add.
+pub type Raise = (u32, Vec<u8>, usize, u32);
+
+/// What was done and left, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Calls to keep after a job, by who sent the job.
+    pub kept: u64,
+    /// Calls ahead of a job, by who answers for the kind.
+    pub ahead: u64,
+    /// Calls left out as the share was held.
+    pub over_share: u64,
+    /// Calls left out as the worker's budget or room was used up.
+    pub over_budget: u64,
+    /// Calls left out as too many waited to be fetched.
+    pub full: u64,
+    /// Kinds not learned as there were too many.
+    pub unknown: u64,
+    /// Rows whose subject was none.
+    pub bad_rows: u64,
+}
+
+struct Entry {
+    kind: Kind,
+    learned: Learned,
+    /// The workers that may be asked, in order: places in `workers`.
+    order: Vec<usize>,
+    mine: bool,
+    due: Micros,
+    /// Arrivals in the fleet per second, a moving mean over about a minute.
+    rate: f64,
+    rated: Micros,
+}
+
+/// What is written to come back after a restart.
+#[derive(Serialize, Deserialize)]
+struct Snapshot {
+    form: u8,
+    at: Micros,
+    kinds: Vec<(Kind, Learned)>,
+}
+
+/// The state machine of one member.
+pub struct Prewarm {
+    config: Config,
+    rng: fastrand::Rng,
+    index: BTreeMap<Kind, usize>,
+    kinds: Vec<Entry>,
+    slots: Slots,
+    raises: BTreeMap<(u32, Vec<u8>, usize), u32>,
+    members: Vec<Arc<str>>,
+    holds: Holds,
+    counts: Counts,
+}
+
+/// The most raises that wait to be fetched.
+const QUEUE: usize = 4_096;
+
+impl Prewarm {
+    /// The machine of one member, which at first is alone and knows of no worker.
+    pub fn new(config: Config, seed: u64) -> Prewarm {
+        let members = vec![config.name.clone()];
+        Prewarm {
+            holds: Holds::new(config.share),
+            config,
+            rng: fastrand::Rng::with_seed(seed),
+            index: BTreeMap::new(),
+            kinds: Vec::new(),
+            slots: Slots::default(),
+            raises: BTreeMap::new(),
+            members,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Who lives, this member included or not; who answers for what follows from it.
+    pub fn members(&mut self, living: &[Arc<str>]) {
+        self.members = living.to_vec();
+        if !self.members.contains(&self.config.name) {
+            self.members.push(self.config.name.clone());
+        }
+        for (number, entry) in self.kinds.iter_mut().enumerate() {
+            let mine = entry.kind.responsible(&self.members) == Some(&self.config.name);
+            if mine && !entry.mine {
+                // The one before may have died before it asked: what it should have asked is asked again.
+                self.holds.doubt(number);
+                entry.due = 0;
+            }
+            entry.mine = mine;
+        }
+    }
+
+    /// The workers and what may be asked of each. What is held on those that may not be asked is forgotten.
+    pub fn workers(&mut self, workers: &[Worker]) {
+        self.holds.set(workers);
+        for entry in &mut self.kinds {
+            entry.order = self.holds.order(&entry.kind);
+            entry.due = 0;
+        }
+    }
+
+    fn number(&mut self, kind: &Kind) -> Option<usize> {
+        if let Some(number) = self.index.get(kind) {
+            return Some(*number);
+        }
+        if self.kinds.len() >= self.config.kinds {
+            self.counts.unknown += 1;
+            return None;
+        }
+        self.kinds.push(Entry {
+            kind: kind.clone(),
+            learned: Learned::default(),
+            order: self.holds.order(kind),
+            mine: kind.responsible(&self.members) == Some(&self.config.name),
+            due: Micros::MAX,
+            rate: 0.0,
+            rated: 0,
+        });
+        self.index.insert(kind.clone(), self.kinds.len() - 1);
+        Some(self.kinds.len() - 1)
+    }
+
+    /// This member sends a job of a kind to a worker: counted, told to the others, and the worker asked to
+    /// keep the class as long as another is likely enough to follow.
+    pub fn arrival(&mut self, now: Micros, kind: &Kind, worker: Option<&str>) {
+        let Some(number) = self.number(kind) else { return };
+        self.slots.own(now, number);
+        self.tell(now, number);
+        if let Some(worker) = worker {
+            self.keep(now, kind, worker);
+        }
+    }
+
+    /// A worker takes a job of a kind: it is asked to keep the class as long as another is likely enough to
+    /// follow. The part of [`Prewarm::arrival`] that counts nothing.
+    pub fn keep(&mut self, now: Micros, kind: &Kind, worker: &str) {
+        let Some(number) = self.number(kind) else { return };
+        let trust = self.slots.trust();
+        let entry = &mut self.kinds[number];
+        let Some(rank) = entry.order.iter().position(|w| &*self.holds.workers[*w].name == worker) else {
+            return;
+        };
+        let place = entry.order[rank];
+        // Of a kind that never came, and of a level that was never met, the plain keep-alive is known.
+        if entry.learned.levels() <= rank {
+            entry.learned.meet(rank);
+        }
+        let bridge = 2.0 * self.config.load as f64 / SECOND as f64;
+        let first = entry.learned.warm(rank, trust, &self.config).first().copied();
+        let Some(first) = first.filter(|s| s.from <= bridge) else { return };
+        let until = now + ((first.to * SECOND as f64) as Micros).min(self.config.longest);
+        if self.hold(now, (number, place), until, true, true) {
+            self.counts.kept += 1;
+        }
+    }
+
+    /// A job of a kind ended that ran that long.
+    pub fn ended(&mut self, kind: &Kind, ran: Micros) {
+        if let Some(number) = self.number(kind) {
+            self.kinds[number].learned.ran(ran);
+        }
+    }
+
+    fn tell(&mut self, now: Micros, number: usize) {
+        let entry = &self.kinds[number];
+        let thin = (entry.rate / self.config.told.max(1e-9)).log2().ceil().clamp(0.0, 16.0) as u8;
+        let drawn = self.rng.u32(..1 << thin) == 0;
+        if drawn && self.raises.len() < QUEUE {
+            let key = (Slots::window(now), entry.kind.subject(thin), (now % WINDOW / SLOT) as usize);
+            *self.raises.entry(key).or_default() += 1;
+        }
+    }
+
+    /// What to add to the own shared rows since the last call.
+    pub fn rows(&mut self) -> Vec<Raise> {
+        std::mem::take(&mut self.raises).into_iter().map(|((w, s, i), n)| (w, s, i, n)).collect()
+    }
+
+    /// A row of another member as it is now: may come late, in any order, and any number of times.
+    pub fn merge(&mut self, now: Micros, owner: &str, window: u32, subject: &[u8], counts: &[u32]) {
+        let Some((kind, thin)) = Kind::of_subject(subject) else {
+            self.counts.bad_rows += 1;
+            return;
+        };
+        let Some(number) = self.number(&kind) else { return };
+        let owner = xxh3_64(owner.as_bytes());
+        for at in self.slots.merge(now, owner, number, thin, window, counts) {
+            self.kinds[number].learned.came_late(at);
+            self.kinds[number].due = 0;
+        }
+    }
+
+    /// Lets time pass: closes slots, learns, and asks for what should be warm.
+    pub fn tick(&mut self, now: Micros) {
+        for came in self.slots.close(now) {
+            let entry = &mut self.kinds[came.kind];
+            entry.learned.came(came.at, SLOT, came.count, &self.config);
+            entry.due = 0;
+            let apart = came.at.saturating_sub(entry.rated).max(SLOT) as f64 / SECOND as f64;
+            let fresh = f64::from(came.count) / apart;
+            entry.rate += (fresh - entry.rate) * (1.0 - (-apart / 60.0).exp());
+            entry.rated = came.at;
+        }
+        self.holds.fade(now);
+        for number in 0..self.kinds.len() {
+            if self.kinds[number].due <= now {
+                self.kinds[number].due = self.plan(now, number);
+            }
+        }
+    }
+
+    /// Plans one kind; gives back when it has to be planned again.
+    fn plan(&mut self, now: Micros, number: usize) -> Micros {
+        let (trust, config) = (self.slots.trust(), self.config.clone());
+        let mut next = Micros::MAX;
+        let levels = self.kinds[number].learned.levels().min(self.kinds[number].order.len());
+        for level in 0..levels {
+            let entry = &mut self.kinds[number];
+            let place = entry.order[level];
+            let Some(last) = entry.learned.last(level) else { continue };
+            let age = now.saturating_sub(last);
+            let micros = |s: f64| (s * SECOND as f64) as Micros;
+            let lead = config.load + SECOND;
+            let warm = entry.learned.warm(level, trust, &config);
+            let Some(stretch) = warm.iter().find(|s| age < micros(s.to)) else { continue };
+            let (from, to) = (micros(stretch.from).saturating_sub(lead), micros(stretch.to));
+            if age < from {
+                next = next.min(last + from);
+                continue;
+            }
+            let length = (micros(stretch.to - stretch.from) / 8).clamp(config.hold, config.longest);
+            let until = (last + to).min(now + length);
+            let held = self.holds.until(place, number);
+            if held < until.min(now + length / 2 + 1) {
+                let mine = self.kinds[number].mine;
+                if self.hold(now, (number, place), until, mine, false) {
+                    self.counts.ahead += u64::from(mine);
+                    next = next.min(until.saturating_sub(length / 2).max(now + SECOND));
+                } else {
+                    next = next.min(now + SECOND);
+                }
+            } else {
+                next = next.min(held.saturating_sub(length / 2).max(now + SECOND));
+            }
+        }
+        next
+    }
+
+    fn hold(&mut self, now: Micros, wish: (usize, usize), until: Micros, speak: bool, loaded: bool) -> bool {
+        let (number, place) = wish;
+        let class = &self.kinds[number].kind.class;
+        match self.holds.hold(now, Wish { number, class, place, until, speak, loaded }) {
+            Ok(()) => return true,
+            Err(Refusal::OverShare) => self.counts.over_share += 1,
+            Err(Refusal::OverBudget) => self.counts.over_budget += 1,
+            Err(Refusal::Full) => self.counts.full += 1,
+        }
+        false
+    }
+
+    /// The most that may be held at once, over all workers and classes.
+    pub fn most(&self) -> usize {
+        self.holds.most()
+    }
+
+    /// The next effect, in order.
+    pub fn poll_effect(&mut self) -> Option<Effect> {
+        self.holds.effects.pop_front()
+    }
+
+    /// When `tick` has something to do, at the earliest.
+    pub fn next_wake(&self) -> Option<Micros> {
+        let due = self.kinds.iter().map(|e| e.due).min().filter(|due| *due < Micros::MAX);
+        due.into_iter().chain(self.slots.due()).min()
+    }
+
+    /// The workers a kind is kept on, best first: where a job of it should go if they have room.
+    pub fn order(&self, kind: &Kind) -> Vec<Arc<str>> {
+        kind.order(&self.holds.workers).into_iter().map(|w| w.name.clone()).collect()
+    }
+
+    /// What may come next of a kind within a horizon; nothing of one that was never met.
+    pub fn likelihood(&mut self, now: Micros, kind: &Kind, within: Micros) -> Option<Likelihood> {
+        let entry = &mut self.kinds[*self.index.get(kind)?];
+        Some(entry.learned.likelihood(now, within, self.slots.trust(), &self.config))
+    }
+
+    /// What was done and left.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How late rows come and how many miss: how far others' arrivals are trusted.
+    pub fn trust(&self) -> f64 {
+        self.slots.trust()
+    }
+
+    /// What was learned, to come back with after a restart.
+    pub fn snapshot(&self, now: Micros) -> Vec<u8> {
+        let kinds = self.kinds.iter().map(|e| (e.kind.clone(), e.learned.clone())).collect();
+        postcard::to_stdvec(&Snapshot { form: 1, at: now, kinds }).unwrap_or_default()
+    }
+
+    /// Takes up what was learned before a restart. Says why where it cannot be used; then nothing changed.
+    ///
+    /// # Errors
+    /// Damaged, of another form, or from the future.
+    pub fn restore(&mut self, now: Micros, bytes: &[u8]) -> Result<(), &'static str> {
+        let Snapshot { form, at, kinds } = postcard::from_bytes(bytes).map_err(|_| "damaged")?;
+        if form != 1 || kinds.iter().any(|(_, learned)| !learned.sound()) {
+            return Err("of another form");
+        }
+        if at > now {
+            return Err("from the future");
+        }
+        for (kind, learned) in kinds {
+            if let Some(number) = self.number(&kind) {
+                self.kinds[number].learned = learned;
+                self.kinds[number].due = 0;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/prewarm/src/trial/contest.rs
@@ -0,0 +1,355 @@
+//! One policy over one day: who is told what and when, and what it costs.
+//!
+//! It owns the members' machines, the way of rows among them, and the faults. It must never let a policy see
+//! more than its members would.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+
+use super::days::{Day, Job, START};
+use super::world::World;
+use crate::slots::{Slots, SLOT, WINDOW};
+use crate::{Config, Effect, Micros, Prewarm, SECOND};
+
+/// Who keeps what warm.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    /// A worker drops a class when its job ends.
+    None,
+    /// A worker keeps a class for so long after a job, in microseconds.
+    Fixed(Micros),
+    /// Each scheduler by what it sees itself.
+    Alone,
+    /// All by shared rows. With so many machines; the schedulers beyond are owners of rows only, and none
+    /// of their own arrivals is known before its row comes.
+    Shared(usize),
+    /// One scheduler with all the traffic.
+    Central,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Trouble {
+    /// Rows come later by that much, in microseconds.
+    pub late: Micros,
+    /// This share of rows never comes.
+    pub lost: f64,
+    /// Every so often a machine, in turn, does nothing for 60 s; the others know after 5 s. In microseconds,
+    /// none if 0.
+    pub stall_every: Micros,
+    /// Every hour the machines are split in halves for so long, in microseconds; known after 5 s.
+    pub split: Micros,
+    /// All machines restart at this time of the day, in microseconds, with a snapshot of a minute before or
+    /// without.
+    pub restart: Option<(Micros, bool)>,
+}
+
+/// A setting of the contest.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The machine's settings.
+    pub config: Config,
+    /// How many schedulers the jobs come to.
+    pub schedulers: u32,
+    /// Workers in each hall, and halls.
+    pub workers: (usize, usize),
+    /// What goes wrong.
+    pub trouble: Trouble,
+    /// Figures are taken from jobs after this time of the day, in microseconds.
+    pub after: Micros,
+}
+
+/// What a policy cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Jobs that came.
+    pub jobs: u64,
+    /// Of them, those that met cold.
+    pub cold: u64,
+    /// Idle warm worker-seconds.
+    pub idle: f64,
+    /// Calls to prepare.
+    pub calls: u64,
+    /// Jobs that found all workers of their hall busy.
+    pub crowded: u64,
+}
+
+impl Cost {
+    /// The share of jobs that met cold.
+    pub fn share(&self) -> f64 {
+        self.cold as f64 / self.jobs.max(1) as f64
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A row as it was when it was sent.
+    Row {
+        to: usize,
+        owner: u32,
+        window: u32,
+        kind: usize,
+        counts: Vec<u32>,
+    },
+    Members,
+    Snapshot,
+    Restart,
+}
+
+struct Run<'a> {
+    day: &'a Day,
+    setup: &'a Setup,
+    world: World,
+    machines: Vec<Prewarm>,
+    wake: Vec<Micros>,
+    names: Vec<Arc<str>>,
+    subjects: Vec<Vec<u8>>,
+    rows: BTreeMap<(u32, usize), (u32, Vec<u32>)>,
+    events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    number: u64,
+    rng: fastrand::Rng,
+    snapshots: Vec<Vec<u8>>,
+}
+
+/// Plays a day.
+pub fn play(day: &Day, policy: Policy, setup: &Setup, seed: u64) -> Cost {
+    let count = match policy {
+        Policy::None | Policy::Fixed(_) => 0,
+        Policy::Alone => setup.schedulers as usize,
+        Policy::Shared(machines) => machines,
+        Policy::Central => 1,
+    };
+    let names: Vec<Arc<str>> = (0..count).map(|n| format!("s{n}").into()).collect();
+    let mut run = Run {
+        day,
+        setup,
+        world: World::new(setup.workers.0, setup.workers.1, setup.config.load),
+        machines: Vec::new(),
+        wake: vec![Micros::MAX; count],
+        names,
+        subjects: day.kinds.iter().map(|(kind, _)| kind.subject(0)).collect(),
+        rows: BTreeMap::new(),
+        events: BinaryHeap::new(),
+        number: 0,
+        rng: fastrand::Rng::with_seed(seed),
+        snapshots: vec![Vec::new(); count],
+    };
+    run.machines = (0..count).map(|n| run.machine(n, policy)).collect();
+    run.faults();
+    let mut before = Cost::default();
+    let mut second = START / SECOND;
+    for job in &day.jobs {
+        while second <= job.at / SECOND {
+            let now = second * SECOND;
+            if now - START == setup.after {
+                before = run.cost();
+            }
+            run.second(now, policy);
+            second += 1;
+        }
+        run.job(job, policy);
+    }
+    run.world.end(START + day.length);
+    let all = run.cost();
+    Cost {
+        jobs: all.jobs - before.jobs,
+        cold: all.cold - before.cold,
+        idle: all.idle - before.idle,
+        calls: all.calls - before.calls,
+        crowded: all.crowded - before.crowded,
+    }
+}
+
+impl Run<'_> {
+    fn cost(&self) -> Cost {
+        let w = &self.world;
+        let idle = w.idle as f64 / SECOND as f64;
+        Cost { jobs: w.jobs, cold: w.cold, idle, calls: w.calls, crowded: w.crowded }
+    }
+
+    fn machine(&self, number: usize, policy: Policy) -> Prewarm {
+        let config = Config { name: self.names[number].clone(), ..self.setup.config.clone() };
+        let mut machine = Prewarm::new(config, number as u64);
+        machine.workers(&self.world.workers);
+        if matches!(policy, Policy::Shared(_)) {
+            machine.members(&self.names);
+        }
+        machine
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((at, self.number, event)));
+    }
+
+    fn faults(&mut self) {
+        let Trouble { stall_every, split, restart, .. } = self.setup.trouble;
+        let end = START + self.day.length;
+        let mut at = START;
+        while stall_every > 0 && at < end {
+            at += stall_every;
+            // Known after 5 s that it is gone, and after 1 s that it is back.
+            self.push(at + 5 * SECOND, Event::Members);
+            self.push(at + 61 * SECOND, Event::Members);
+        }
+        at = START;
+        while split > 0 && at < end {
+            at += 3_600 * SECOND;
+            self.push(at + 5 * SECOND, Event::Members);
+            self.push(at + split + 2 * SECOND, Event::Members);
+        }
+        if let Some((at, kept)) = restart {
+            if kept {
+                self.push(START + at - 60 * SECOND, Event::Snapshot);
+            }
+            self.push(START + at, Event::Restart);
+        }
+    }
+
+    /// Whether a machine does nothing at that time.
+    fn down(&self, machine: usize, at: Micros) -> bool {
+        let every = self.setup.trouble.stall_every;
+        if every == 0 || at < START + every {
+            return false;
+        }
+        let turn = (at - START) / every;
+        (at - START) % every < 60 * SECOND && turn as usize % self.machines.len() == machine
+    }
+
+    /// Whether the machines are split at that time.
+    fn split(&self, at: Micros) -> bool {
+        let (split, hour) = (self.setup.trouble.split, 3_600 * SECOND);
+        split > 0 && at >= START + hour && (at - START) % hour < split
+    }
+
+    fn side(&self, number: usize) -> bool {
+        2 * (number % self.machines.len().max(1)) < self.machines.len()
+    }
+
+    fn second(&mut self, now: Micros, policy: Policy) {
+        while self.events.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+            match event {
+                Event::Row { to, owner, window, kind, counts } => {
+                    let apart = self.split(at) && self.side(to) != self.side(owner as usize);
+                    if self.down(to, at) || apart {
+                        // Sent again until it gets through.
+                        self.push(at + SECOND, Event::Row { to, owner, window, kind, counts });
+                        continue;
+                    }
+                    let subject = &self.subjects[kind];
+                    self.machines[to].merge(now, &format!("o{owner}"), window, subject, &counts);
+                    self.wake[to] = self.wake[to].min(now);
+                }
+                Event::Members => {
+                    for n in 0..self.machines.len() {
+                        let apart = self.split(at - 5 * SECOND) && self.split(at);
+                        let living: Vec<Arc<str>> = (0..self.machines.len())
+                            .filter(|m| !(self.down(*m, at) || apart && self.side(*m) != self.side(n)))
+                            .map(|m| self.names[m].clone())
+                            .collect();
+                        self.machines[n].members(&living);
+                        self.wake[n] = now;
+                    }
+                }
+                Event::Snapshot => {
+                    self.snapshots = self.machines.iter().map(|m| m.snapshot(now)).collect();
+                }
+                Event::Restart => {
+                    for n in 0..self.machines.len() {
+                        self.machines[n] = self.machine(n, policy);
+                        if !self.snapshots[n].is_empty() {
+                            let taken = self.machines[n].restore(now, &self.snapshots[n]);
+                            debug_assert_eq!(taken, Ok(()));
+                        }
+                        self.wake[n] = now;
+                    }
+                }
+            }
+        }
+        for n in 0..self.machines.len() {
+            if self.wake[n] <= now && !self.down(n, now) {
+                self.machines[n].tick(now);
+                self.act(n, now);
+                self.wake[n] = self.machines[n].next_wake().unwrap_or(Micros::MAX);
+            }
+        }
+    }
+
+    fn act(&mut self, machine: usize, now: Micros) {
+        while let Some(Effect::Prepare { worker, class, keep_ms }) = self.machines[machine].poll_effect() {
+            self.world.prepare(now, &worker, &class, keep_ms * 1_000);
+        }
+    }
+
+    fn job(&mut self, job: &Job, policy: Policy) {
+        let kind = &self.day.kinds[job.kind].0;
+        let (worker, took, _) = self.world.job(job.at, kind, job.runs);
+        let owner = job.to % self.setup.schedulers;
+        let machine = match policy {
+            Policy::None => return,
+            Policy::Fixed(keep) => return self.world.prepare(job.at, &worker, &kind.class, took + keep),
+            Policy::Alone => owner as usize,
+            Policy::Shared(machines) => owner as usize % machines,
+            Policy::Central => 0,
+        };
+        // A job sent to one that is down is sent again to the next.
+        let machine = match self.down(machine, job.at) {
+            true => (machine + 1) % self.machines.len(),
+            false => machine,
+        };
+        let known = !matches!(policy, Policy::Shared(machines) if machines < self.setup.schedulers as usize);
+        let m = &mut self.machines[machine];
+        if known {
+            m.arrival(job.at, kind, Some(&worker));
+        } else {
+            m.keep(job.at, kind, &worker);
+        }
+        m.ended(kind, took);
+        self.act(machine, job.at);
+        self.wake[machine] =
+            self.wake[machine].min(self.machines[machine].next_wake().unwrap_or(Micros::MAX));
+        if matches!(policy, Policy::Shared(_)) {
+            self.send(job, owner, if known { Some(machine) } else { None });
+        }
+    }
+
+    /// The owner's row goes to all others.
+    fn send(&mut self, job: &Job, owner: u32, but: Option<usize>) {
+        let window = Slots::window(job.at);
+        let (of, counts) = self.rows.entry((owner, job.kind)).or_insert((window, Vec::new()));
+        if *of != window {
+            (*of, *counts) = (window, Vec::new());
+        }
+        let place = (job.at % WINDOW / SLOT) as usize;
+        counts.resize(counts.len().max(place + 1), 0);
+        counts[place] += 1;
+        let counts = counts.clone();
+        let Trouble { late, lost, .. } = self.setup.trouble;
+        for to in (0..self.machines.len()).filter(|to| Some(*to) != but) {
+            if self.rng.f64() < lost {
+                continue;
+            }
+            let at = job.at + 300_000 + self.rng.u64(..1_200_000) + late;
+            self.push(at, Event::Row { to, owner, window, kind: job.kind, counts: counts.clone() });
+        }
+    }
+}
+
+/// The fixed keep-alive that takes as many idle warm seconds, and what it costs: the best of its kind at
+/// that price, as its cold starts only fall with its length.
+pub fn fixed_at(day: &Day, setup: &Setup, idle: f64) -> (f64, Cost) {
+    let (mut low, mut high) = (0.0_f64, 86_400.0_f64);
+    let mut best = (0.0, play(day, Policy::None, setup, 0));
+    for _ in 0..16 {
+        let middle = if low < 1.0 { (high * low.max(1.0)).sqrt() } else { (low * high).sqrt() };
+        let cost = play(day, Policy::Fixed((middle * SECOND as f64) as Micros), setup, 0);
+        if cost.idle <= idle {
+            (low, best) = (middle, (middle, cost));
+        } else {
+            high = middle;
+        }
+    }
+    best
+}
