Tell periodic kinds from chance: finer buckets, taken only where they differ clearly

Periodic kinds were warmed up to 4.4% of their period too early, as that was a bucket's width, and steady kinds had holes in their keep-alive where chance left a bucket empty. Buckets are now 2.2% wide; a scale finer than an octave counts where it is more than about 2.5 deviations from the coarser one, and is shrunk hard otherwise.

--- a/crates/prewarm/src/bin/trial.rs
+++ b/crates/prewarm/src/bin/trial.rs
@@ -4,13 +4,13 @@
 
 use argh::FromArgs;
 use oakshed_prewarm::trial::contest::{fixed_at, play, Cost, Policy, Setup, Trouble};
-use oakshed_prewarm::trial::days::Day;
+use oakshed_prewarm::trial::days::{Day, SHAPES};
 use oakshed_prewarm::{Config, SECOND};
 
 /// Plays generated days and prints cold starts against idle warm worker-seconds.
 #[derive(FromArgs)]
 struct Args {
-    /// how many seeds, from 1
+    /// how many seeds
     #[argh(option, default = "3")]
     seeds: u64,
     /// kinds of each of the five shapes
@@ -28,6 +28,15 @@
     /// machines that are played of the shared ones
     #[argh(option, default = "1")]
     machines: usize,
+    /// only this shape: steady, bursts, periodic, wave, rare
+    #[argh(option)]
+    shape: Option<String>,
+    /// the least length of a call to keep, in seconds
+    #[argh(option)]
+    hold: Option<u64>,
+    /// the first seed
+    #[argh(option, default = "1")]
+    first: u64,
     /// gaps remembered
     #[argh(option)]
     memory: Option<f64>,
@@ -69,9 +78,15 @@
 
 fn main() {
     let args: Args = argh::from_env();
-    let days: Vec<Day> = (1..=args.seeds).map(|seed| Day::new(seed, args.each, 4, args.hours)).collect();
+    let shape = SHAPES.into_iter().find(|s| args.shape == Some(format!("{s:?}").to_lowercase()));
+    let day = |seed| {
+        let day = Day::new(seed, args.each, 4, args.hours);
+        shape.map_or(day.clone(), |shape| day.only(shape))
+    };
+    let days: Vec<Day> = (args.first..args.first + args.seeds).map(day).collect();
     let setup = |worth: f64, schedulers: u32, trouble: Trouble| {
         let mut config = Config { worth, ..Config::default() };
+        config.hold = args.hold.map_or(config.hold, |s| s * SECOND);
         config.memory = args.memory.unwrap_or(config.memory);
         config.plain = args.plain.unwrap_or(config.plain);
         Setup { config, schedulers, workers: (12, 4), trouble, after: 0 }
--- a/crates/prewarm/src/gaps.rs
+++ b/crates/prewarm/src/gaps.rs
@@ -5,13 +5,13 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Buckets of one second below this many seconds; sixteen an octave above.
+/// Buckets of one second below this many seconds; thirty-two an octave above.
 const LINEAR: usize = 8;
-const OCTAVE: usize = 16;
+const OCTAVE: usize = 32;
 /// The number of buckets: up to 2^17 s, a day and a half.
 pub const BUCKETS: usize = LINEAR + 14 * OCTAVE;
-/// The sixteenth root of two.
-const STEP: f64 = 1.044_273_782_427_413_8;
+/// The thirty-second root of two.
+const STEP: f64 = 1.021_897_148_654_116_7;
 
 /// The edges of the buckets in seconds of age; bucket `b` is from `edges()[b]` to `edges()[b + 1]`.
 pub fn edges() -> &'static [f64; BUCKETS + 1] {
@@ -48,10 +48,13 @@
     pub seen: u64,
 }
 
-/// How much each scale counts against the next coarser one, in events.
-const SCALES: [(usize, f64); 3] = [(OCTAVE, 1.0), (4, 1.0), (1, 1.0)];
-/// How many events the plain keep-alive counts for.
-const PLAIN: f64 = 1.0;
+/// Scales in buckets, and how much the next coarser one counts against each, in events; the first is held
+/// against the plain keep-alive.
+const SCALES: [(usize, f64); 4] = [(OCTAVE, 1.0), (8, 1.0), (2, 1.0), (1, 1.0)];
+/// How much the coarser one counts where a finer one may be chance, in events.
+const UNCLEAR: f64 = 8.0;
+/// The square of the deviations from which on it is none.
+const CLEAR: f64 = 6.0;
 
 impl Gaps {
     /// Counts one gap, in seconds; what was before keeps `1 - 1 / memory` of its weight.
@@ -95,7 +98,6 @@
         }
         let mut rate: Vec<f64> =
             (0..BUCKETS).map(|b| plain / ((edges[b] + edges[b + 1]) / 2.0).max(0.5)).collect();
-        let mut prior = PLAIN;
         for (size, weight) in SCALES {
             for block in (0..BUCKETS).step_by(size) {
                 let range = block..(block + size).min(BUCKETS);
@@ -103,10 +105,13 @@
                     range.clone().fold((0.0, 0.0), |(n, e), b| (n + events[b], e + exposure[b]));
                 // Each bucket keeps its part of the coarser rate: a block that fell steadily still does.
                 let expected: f64 = range.clone().map(|b| exposure[b] * rate[b]).sum();
-                let ratio = if e > 0.0 { (n + prior) / (expected + prior) } else { 1.0 };
+                // A finer scale than an octave is believed where it is no chance (about 2.5 deviations), and
+                // shrunk hard where it may be one.
+                let clear = size == OCTAVE || (n - expected).powi(2) > CLEAR * (expected + 1.0);
+                let weight = if clear { weight } else { UNCLEAR };
+                let ratio = if e > 0.0 { (n + weight) / (expected + weight) } else { 1.0 };
                 range.for_each(|b| rate[b] *= ratio);
             }
-            prior = weight;
         }
         rate.into_iter().map(|r| r as f32).collect()
     }
--- a/crates/prewarm/src/trial/days.rs
+++ b/crates/prewarm/src/trial/days.rs
@@ -82,6 +82,12 @@
         jobs.sort();
         Day { kinds, jobs, length: (length * SECOND as f64) as Micros }
     }
+
+    /// The same day with the jobs of one shape only.
+    pub fn only(mut self, shape: Shape) -> Day {
+        self.jobs.retain(|job| self.kinds[job.kind].1 == shape);
+        self
+    }
 }
 
 fn times(rng: &mut fastrand::Rng, shape: Shape, length: f64, add: &mut dyn FnMut(&mut fastrand::Rng, f64)) {
