Count what prewarming's rows weigh, and test that hot kinds are told as a sample

At 300 members a member may take in 4 KiB/s, so each may tell about 13 bytes/s. Rows of kinds that come more than once a second in the fleet are told as one arrival in a power of two, drawn by the seed, with the thinning in the subject; telling each window's sum instead was ruled out, as a row of its own costs the same. The trial has these as `bytes`, and partial failures one by one with `--case`.

--- a/crates/prewarm/src/bin/trial.rs
+++ b/crates/prewarm/src/bin/trial.rs
@@ -3,6 +3,7 @@
 //! It owns the arguments and the table. It must never decide anything.
 
 use argh::FromArgs;
+use oakshed_prewarm::trial::bytes::per_second;
 use oakshed_prewarm::trial::contest::{fixed_at, play, Cost, Policy, Setup, Trouble};
 use oakshed_prewarm::trial::days::{Day, SHAPES};
 use oakshed_prewarm::{Config, SECOND};
@@ -34,6 +35,12 @@
     /// the least length of a call to keep, in seconds
     #[argh(option)]
     hold: Option<u64>,
+    /// trouble: only cases whose names have this
+    #[argh(option, default = "String::new()")]
+    case: String,
+    /// bytes: arrivals of a kind in a second that are told one by one
+    #[argh(option, default = "1.0")]
+    told: f64,
     /// the first seed
     #[argh(option, default = "1")]
     first: u64,
@@ -43,7 +50,7 @@
     /// strength of the plain keep-alive
     #[argh(option)]
     plain: Option<f64>,
-    /// none: the front; else: trouble, the partial failures
+    /// front (the default); trouble: the partial failures; bytes: what rows weigh
     #[argh(positional, default = "String::from(\"front\")")]
     what: String,
 }
@@ -78,6 +85,15 @@
 
 fn main() {
     let args: Args = argh::from_env();
+    if args.what == "bytes" {
+        for members in numbers(&args.schedulers) {
+            let jobs = 320.0_f64.min(3.2 * members);
+            let bytes = per_second(members as usize, jobs, 160, 9, args.told);
+            let bytes = bytes[3..].iter().sum::<f64>() / 6.0;
+            println!("{members} members, {jobs} jobs/s, told {}: {bytes:.1} B/s of each", args.told);
+        }
+        return;
+    }
     let shape = SHAPES.into_iter().find(|s| args.shape == Some(format!("{s:?}").to_lowercase()));
     let day = |seed| {
         let day = Day::new(seed, args.each, 4, args.hours);
@@ -142,7 +158,7 @@
         ("all restart, none", Trouble { restart: Some((noon, false)), ..whole }),
     ];
     for worth in numbers(&args.worth) {
-        for (name, trouble) in cases {
+        for (name, trouble) in cases.iter().copied().filter(|(name, _)| name.contains(&args.case)) {
             let machines = args.machines.max(3);
             let many = setup(worth, machines as u32, trouble);
             let costs = all(Policy::Shared(machines), &many);
--- a/crates/prewarm/tests/laws.rs
+++ b/crates/prewarm/tests/laws.rs
@@ -183,3 +183,30 @@
     assert!((70..140).contains(&of_dead), "{of_dead}");
     assert!(counts.values().all(|c| (60..150).contains(c)), "{counts:?}");
 }
+
+/// Of a kind that comes often only a sample is told, and those who hear it count about as many.
+#[test]
+fn hot_kinds_are_told_as_a_sample() {
+    let config = Config { name: "s0".into(), ..Config::default() };
+    let (mut from, mut to) = (Prewarm::new(config.clone(), 1), Prewarm::new(config, 2));
+    let (hot, mut told, mut counted) = (kind(0), Vec::new(), 0);
+    for i in 0..40 * 300_u64 {
+        let now = START + i * SECOND / 40;
+        from.arrival(now, &hot, None);
+        from.tick(now);
+        told.extend(from.rows());
+    }
+    for (window, subject, index, add) in &told {
+        let (_, thin) = Kind::of_subject(subject).unwrap();
+        counted += add << thin;
+        // Each raise as a row of its own owner: they only add up.
+        let mut counts = vec![0; index + 1];
+        counts[*index] = *add;
+        let now = u64::from(*window) * 10 * SECOND + 10 * SECOND;
+        to.merge(now, "s1", *window, subject, &counts);
+    }
+    // One in 64 is told: the deviation of the sum is about 900.
+    assert!((9_600..14_400).contains(&counted), "{counted} of 12000");
+    assert!(told.len() < 2_000, "{} raises for 12000 arrivals", told.len());
+    assert!(to.likelihood(START + 300 * SECOND, &hot, SECOND).is_some());
+}
