Follow the tempo of the last jobs: the daily wave, and what changed lately

Each gap now also tells how many jobs the rate expected in it; the last 15 or so against their expectation scale the rate, shrunk by 8 gaps.

--- a/crates/prewarm/src/gaps.rs
+++ b/crates/prewarm/src/gaps.rs
@@ -141,3 +141,10 @@
     }
     out
 }
+
+/// How many jobs a rate expects from one job until an age in seconds.
+pub fn expected(rate: &[f32], age: f64) -> f64 {
+    let edges = edges();
+    let upto = rate.iter().enumerate().take_while(|(b, _)| edges[*b] < age);
+    upto.map(|(b, rate)| f64::from(*rate) * (edges[b + 1].min(age) - edges[b])).sum()
+}
--- a/crates/prewarm/src/learn.rs
+++ b/crates/prewarm/src/learn.rs
@@ -19,6 +19,8 @@
     /// When the last one came.
     pub last: Option<Micros>,
     busy: Micros,
+    /// The last gaps, fading fast: how many, and how many of them the rate expected.
+    tempo: (f64, f64),
     #[serde(skip)]
     rate: Vec<f32>,
     #[serde(skip)]
@@ -26,6 +28,9 @@
     /// How many gaps were known when `rate` was made, and with how much trust.
     #[serde(skip)]
     made: Option<(u64, u8)>,
+    /// The tempo at which `warm` was made.
+    #[serde(skip)]
+    warm_at: i32,
 }
 
 /// What may come next of a kind.
@@ -79,7 +84,7 @@
         };
         let level = &mut self.levels[place];
         if let Some(last) = level.last {
-            level.gaps.count(at.saturating_sub(last) as f64 / SECOND as f64, config.memory);
+            level.counted(at.saturating_sub(last) as f64 / SECOND as f64, config);
         }
         level.last = Some(level.last.map_or(at, |last| last.max(at)));
         level.busy = at + ran;
@@ -102,7 +107,8 @@
 
     /// Whether what was read from outside can have been learned.
     pub fn sound(&self) -> bool {
-        self.levels.len() <= LEVELS && self.levels.iter().all(|l| l.gaps.sound())
+        self.levels.len() <= LEVELS
+            && self.levels.iter().all(|l| l.gaps.sound() && l.tempo.0 >= 0.0 && l.tempo.1 >= 0.0)
     }
 
     /// How many levels were ever met.
@@ -124,16 +130,20 @@
         let l = &mut self.levels[level];
         let trust = (trust.clamp(0.0, 1.0) * 20.0).round() as u8;
         let fresh = l.made.is_some_and(|(n, t)| t == trust && l.gaps.seen <= n + n / 32);
+        let tempo = (l.tempo().ln() / TEMPO_STEP).round() as i32;
         if !fresh {
-            let price = 1.0 / config.worth.max(1e-3);
             let plain = l.plain(level, config);
             let trust_share = f32::from(trust) / 20.0;
             let none = Gaps::default().hazard(plain);
             l.rate = l.gaps.hazard(plain);
             l.rate.iter_mut().zip(none).for_each(|(r, p)| *r = trust_share * *r + (1.0 - trust_share) * p);
-            l.warm = gaps::stretches(&l.rate, price, 2.0 * config.load as f64 / SECOND as f64);
             l.made = Some((l.gaps.seen, trust));
         }
+        if !fresh || l.warm_at != tempo {
+            let price = 1.0 / config.worth.max(1e-3) / (f64::from(tempo) * TEMPO_STEP).exp();
+            l.warm = gaps::stretches(&l.rate, price, 2.0 * config.load as f64 / SECOND as f64);
+            l.warm_at = tempo;
+        }
         &l.warm
     }
 
@@ -151,7 +161,7 @@
             if from >= to {
                 break;
             }
-            let left = open * (-f64::from(level.rate[b]) * (to - from)).exp();
+            let left = open * (-f64::from(level.rate[b]) * level.tempo() * (to - from)).exp();
             let covered = level.warm.iter().any(|s| s.from <= from && to <= s.to);
             cold += if covered { 0.0 } else { open - left };
             open = left;
@@ -167,7 +177,28 @@
     }
 }
 
+/// How many of the last gaps the tempo remembers, what the whole histogram counts against it in gaps, and the
+/// step in which it is used (of its logarithm).
+const TEMPO_MEMORY: f64 = 15.0;
+const TEMPO_PRIOR: f64 = 8.0;
+const TEMPO_STEP: f64 = 0.1;
+
 impl Level {
+    /// A gap ended: it counts for the histogram, and for the tempo by how many jobs were expected in it.
+    fn counted(&mut self, gap: f64, config: &Config) {
+        if !self.rate.is_empty() {
+            let keep = 1.0 - 1.0 / TEMPO_MEMORY;
+            let expected = gaps::expected(&self.rate, gap).min(4.0);
+            self.tempo = (self.tempo.0 * keep + 1.0, self.tempo.1 * keep + expected);
+        }
+        self.gaps.count(gap, config.memory);
+    }
+
+    /// How much faster the last jobs came than the histogram has it: the daily wave, and what changed lately.
+    fn tempo(&self) -> f64 {
+        (self.tempo.0 + TEMPO_PRIOR) / (self.tempo.1 + TEMPO_PRIOR)
+    }
+
     /// The strength of the plain keep-alive; for further levels it is the less the higher.
     fn plain(&self, level: usize, config: &Config) -> f64 {
         config.plain / (1 + level) as f64
