--- a/crates/prewarm/src/bin/trial.rs
+++ b/crates/prewarm/src/bin/trial.rs
@@ -3,6 +3,7 @@
 //! It owns the arguments and the table. It must never decide anything.
 
 use argh::FromArgs;
+use oakshed_prewarm::config::Rule;
 use oakshed_prewarm::trial::bytes::per_second;
 use oakshed_prewarm::trial::contest::{fixed_at, play, Cost, Policy, Setup, Trouble};
 use oakshed_prewarm::trial::days::{Day, SHAPES};
@@ -44,6 +45,9 @@
     /// the first seed
     #[argh(option, default = "1")]
     first: u64,
+    /// one with all: the window from the 5th to this percentile instead of the price
+    #[argh(option)]
+    percentile: Option<f64>,
     /// gaps remembered
     #[argh(option)]
     memory: Option<f64>,
@@ -102,6 +106,8 @@
     let days: Vec<Day> = (args.first..args.first + args.seeds).map(day).collect();
     let setup = |worth: f64, schedulers: u32, trouble: Trouble| {
         let mut config = Config { worth, ..Config::default() };
+        let window = |late: f64| Rule::Percentiles(0.05, late / 100.0);
+        config.rule = args.percentile.map_or(config.rule, window);
         config.hold = args.hold.map_or(config.hold, |s| s * SECOND);
         config.memory = args.memory.unwrap_or(config.memory);
         config.plain = args.plain.unwrap_or(config.plain);
--- a/crates/prewarm/src/config.rs
+++ b/crates/prewarm/src/config.rs
@@ -6,6 +6,17 @@
 
 use crate::{Micros, SECOND};
 
+/// When a worker is warm, by the age since the last job of a kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Rule {
+    /// Wherever the rate of the next job is at least the price, `1 / worth`.
+    Price,
+    /// From the early to the late percentile of the gaps, given as shares, and the plain keep-alive with few
+    /// gaps: the window of Shahrad et al., 'Serverless in the Wild' (USENIX ATC 2020, section 4.2), kept to be
+    /// measured against.
+    Percentiles(f64, f64),
+}
+
 /// Settings of one member. All members of an installation have the same, but for `name`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -14,6 +25,8 @@
     /// How many seconds of an idle warm worker one job that meets cold is worth: the one price from which
     /// all that is kept or loaded follows.
     pub worth: f64,
+    /// When a worker is warm.
+    pub rule: Rule,
     /// Where the histogram says nothing a worker is kept for this share of `worth` after a job (the plain
     /// keep-alive).
     pub plain: f64,
@@ -39,6 +52,7 @@
         Config {
             name: "".into(),
             worth: 300.0,
+            rule: Rule::Price,
             plain: 0.5,
             load: 2 * SECOND,
             hold: 10 * SECOND,
--- a/crates/prewarm/src/gaps.rs
+++ b/crates/prewarm/src/gaps.rs
@@ -83,6 +83,24 @@
         self.weight.iter().skip(bucket(age) + 1).map(|w| f64::from(*w)).sum()
     }
 
+    /// From the early to the late percentile, widened by a tenth, as the paper has it; nothing with fewer than
+    /// ten gaps or with more than half of them beyond the buckets.
+    pub fn window(&self, early: f64, late: f64) -> Option<Stretch> {
+        let beyond = self.weight.last().copied().unwrap_or(0.0);
+        if self.seen < 10 || f64::from(beyond) > 0.5 * self.total {
+            return None;
+        }
+        let at = |share: f64| {
+            let mut sum = 0.0;
+            let reached = |w: &f32| {
+                sum += f64::from(*w);
+                sum >= share * self.total
+            };
+            self.weight.iter().position(reached).unwrap_or(BUCKETS - 1)
+        };
+        Some(Stretch { from: 0.9 * edges()[at(early)], to: 1.1 * edges()[at(late) + 1] })
+    }
+
     /// The rate of the next job in each bucket of age, per second. What is seen at a fine scale counts
     /// against the coarser one around it, and all of it against `plain / age`, the rate that the plain
     /// keep-alive assumes: with nothing seen that is what remains.
--- a/crates/prewarm/src/learn.rs
+++ b/crates/prewarm/src/learn.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Rule;
 use crate::gaps::{self, Gaps, Stretch};
 use crate::{Config, Micros, SECOND};
 
@@ -141,7 +142,15 @@
         }
         if !fresh || l.warm_at != tempo {
             let price = 1.0 / config.worth.max(1e-3) / (f64::from(tempo) * TEMPO_STEP).exp();
-            l.warm = gaps::stretches(&l.rate, price, 2.0 * config.load as f64 / SECOND as f64);
+            let bridge = 2.0 * config.load as f64 / SECOND as f64;
+            l.warm = match config.rule {
+                Rule::Price => gaps::stretches(&l.rate, price, bridge),
+                Rule::Percentiles(early, late) => {
+                    let plain = Stretch { from: 0.0, to: l.plain(level, config) * config.worth };
+                    let window = l.gaps.window(early, late).unwrap_or(plain);
+                    vec![Stretch { from: if window.from <= bridge { 0.0 } else { window.from }, ..window }]
+                }
+            };
             l.warm_at = tempo;
         }
         &l.warm
