--- a/crates/prewarm/src/learn.rs
+++ b/crates/prewarm/src/learn.rs
@@ -106,10 +106,16 @@
         self.levels.resize_with(levels, Level::default);
     }
 
-    /// Whether what was read from outside can have been learned.
-    pub fn sound(&self) -> bool {
-        self.levels.len() <= LEVELS
-            && self.levels.iter().all(|l| l.gaps.sound() && l.tempo.0 >= 0.0 && l.tempo.1 >= 0.0)
+    /// Whether what was read from outside can have been learned until then: nothing of it lies in the future,
+    /// where sums of times would run over.
+    pub fn sound(&self, at: Micros) -> bool {
+        const DAY: Micros = 86_400 * SECOND;
+        let level = |l: &Level| {
+            let times = l.last.is_none_or(|last| last <= at) && l.busy <= at.saturating_add(DAY);
+            let tempo = |t: f64| t.is_finite() && t >= 0.0;
+            l.gaps.sound() && times && tempo(l.tempo.0) && tempo(l.tempo.1)
+        };
+        self.levels.len() <= LEVELS && self.ran <= DAY && self.levels.iter().all(level)
     }
 
     /// How many levels were ever met.
--- a/crates/prewarm/src/machine.rs
+++ b/crates/prewarm/src/machine.rs
@@ -340,12 +340,12 @@
     /// Damaged, of another form, or from the future.
     pub fn restore(&mut self, now: Micros, bytes: &[u8]) -> Result<(), &'static str> {
         let Snapshot { form, at, kinds } = postcard::from_bytes(bytes).map_err(|_| "damaged")?;
-        if form != 1 || kinds.iter().any(|(_, learned)| !learned.sound()) {
-            return Err("of another form");
-        }
         if at > now {
             return Err("from the future");
         }
+        if form != 1 || kinds.iter().any(|(_, learned)| !learned.sound(at)) {
+            return Err("of another form");
+        }
         for (kind, learned) in kinds {
             if let Some(number) = self.number(&kind) {
                 self.kinds[number].learned = learned;
--- a/crates/prewarm/tests/laws.rs
+++ b/crates/prewarm/tests/laws.rs
@@ -180,6 +180,21 @@
     }
 }
 
+/// A snapshot from the future, or one that tells of times after it was made, is refused.
+#[test]
+fn snapshots_from_the_future() {
+    let config = Config { name: "me".into(), ..Config::default() };
+    let mut p = Prewarm::new(config.clone(), 1);
+    p.arrival(START, &kind(1), None);
+    (1..9).for_each(|s| p.tick(START + s * SECOND));
+    let mut q = Prewarm::new(config, 1);
+    assert_eq!(q.restore(START, &p.snapshot(START + 1)), Err("from the future"));
+    assert_eq!(q.restore(START, &p.snapshot(START - 1)), Err("of another form"));
+    assert_eq!(q.restore(START, &[]), Err("damaged"));
+    assert_eq!(q.restore(START + SECOND, &p.snapshot(START + SECOND)), Ok(()));
+    assert!(q.likelihood(START + SECOND, &kind(1), SECOND).is_some());
+}
+
 /// One answers for each kind among the living; when it dies only its kinds move.
 #[test]
 fn responsibility_moves_little() {
