Tell running times with arrivals, so that 300 members learn the same levels as one

Two counts behind the slots of a row now hold a sum and a number; of a frequent kind one in 20 s is told, always with the row of an arrival, as a row of its own would cost 20 bytes. Ruled out: a running time in the settings, which nobody keeps true.

--- a/crates/prewarm/src/machine.rs
+++ b/crates/prewarm/src/machine.rs
@@ -13,7 +13,7 @@
 use crate::hold::{Holds, Refusal, Wish};
 use crate::learn::{Learned, Likelihood};
 use crate::place::{Kind, Worker};
-use crate::slots::{Slots, SLOT, WINDOW};
+use crate::slots::{Slots, RAN, RAN_JOBS, RAN_MOST, RAN_SUM, SLOT, WINDOW};
 use crate::{Config, Micros, SECOND};
 
 /// What the shell has to do.
@@ -59,6 +59,8 @@
     /// The workers that may be asked, in order: places in `workers`.
     order: Vec<usize>,
     mine: bool,
+    /// The window and thinning of the last arrival told, until a running time is told with it.
+    told: Option<(u32, u8)>,
     due: Micros,
     /// Arrivals in the fleet per second, a moving mean over about a minute.
     rate: f64,
@@ -145,6 +147,7 @@
             learned: Learned::default(),
             order: self.holds.order(kind),
             mine: kind.responsible(&self.members) == Some(&self.config.name),
+            told: None,
             due: Micros::MAX,
             rate: 0.0,
             rated: 0,
@@ -187,10 +190,16 @@
         }
     }
 
-    /// A job of a kind ended that ran that long.
+    /// A job of a kind ended that ran that long; the others are told with the row of the last arrival.
     pub fn ended(&mut self, kind: &Kind, ran: Micros) {
-        if let Some(number) = self.number(kind) {
-            self.kinds[number].learned.ran(ran);
+        let Some(number) = self.number(kind) else { return };
+        let entry = &mut self.kinds[number];
+        entry.learned.ran(ran.min(RAN_MOST));
+        if let Some((window, thin)) = entry.told.take() {
+            let units = (ran.min(RAN_MOST).div_ceil(RAN)).max(1) as u32;
+            for (index, add) in [(RAN_SUM, units), (RAN_JOBS, 1)] {
+                *self.raises.entry((window, kind.subject(thin), index)).or_default() += add;
+            }
         }
     }
 
@@ -201,6 +210,10 @@
         if drawn && self.raises.len() < QUEUE {
             let key = (Slots::window(now), entry.kind.subject(thin), (now % WINDOW / SLOT) as usize);
             *self.raises.entry(key).or_default() += 1;
+            // Of a frequent kind a few running times are enough: one in 20 s over the fleet.
+            let few =
+                self.rng.f64() * 20.0 * self.kinds[number].rate * f64::from(1_u32 << thin).recip() < 1.0;
+            self.kinds[number].told = few.then(|| (Slots::window(now), thin));
         }
     }
 
@@ -217,7 +230,9 @@
         };
         let Some(number) = self.number(&kind) else { return };
         let owner = xxh3_64(owner.as_bytes());
-        for at in self.slots.merge(now, owner, number, thin, window, counts) {
+        let told = self.slots.merge(now, owner, number, thin, window, counts);
+        told.ran.into_iter().for_each(|ran| self.kinds[number].learned.ran(ran));
+        for at in told.late {
             self.kinds[number].learned.came_late(at);
             self.kinds[number].due = 0;
         }
--- a/crates/prewarm/src/slots.rs
+++ b/crates/prewarm/src/slots.rs
@@ -19,6 +19,24 @@
 const SOON: Micros = 2 * SECOND;
 const LATE: Micros = 60 * SECOND;
 
+/// The indices of a row behind its slots: the sum of running times in [`RAN`], and of how many jobs.
+pub const RAN_SUM: usize = (WINDOW / SLOT) as usize;
+/// See [`RAN_SUM`].
+pub const RAN_JOBS: usize = RAN_SUM + 1;
+/// The unit of running times in rows.
+pub const RAN: Micros = SECOND / 10;
+/// The longest running time told.
+pub const RAN_MOST: Micros = 3_600 * SECOND;
+
+/// What a row told that was not known.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Arrivals whose slots are closed.
+    pub late: Vec<Micros>,
+    /// A mean running time.
+    pub ran: Option<Micros>,
+}
+
 /// Arrivals of one slot and kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrivals {
@@ -56,7 +74,7 @@
         *self.open.entry((at / SLOT, kind)).or_default() += 1;
     }
 
-    /// A row of another member, thinned to one in `1 << thin`. Gives back arrivals whose slots are closed.
+    /// A row of another member, thinned to one in `1 << thin`. Gives back what is not of open slots.
     pub fn merge(
         &mut self,
         now: Micros,
@@ -65,8 +83,8 @@
         thin: u8,
         window: u32,
         counts: &[u32],
-    ) -> Vec<Micros> {
-        let mut out = Vec::new();
+    ) -> Told {
+        let mut out = Told::default();
         let current = Slots::window(now);
         if window + KEEP <= current || window > current + 2 {
             return out;
@@ -78,8 +96,14 @@
         }
         let known = self.rows.entry(key).or_default();
         let slots = (WINDOW / SLOT) as usize;
-        known.resize(slots, 0);
-        for (i, (known, new)) in known.iter_mut().zip(counts).enumerate() {
+        known.resize(RAN_JOBS + 1, 0);
+        let more = |i: usize| counts.get(i).map_or(0, |new| new.saturating_sub(known[i]));
+        let (sum, jobs) = (more(RAN_SUM), more(RAN_JOBS));
+        if sum > 0 && jobs > 0 {
+            (known[RAN_SUM], known[RAN_JOBS]) = (counts[RAN_SUM], counts[RAN_JOBS]);
+            out.ran = Some((u64::from(sum) * RAN / u64::from(jobs)).min(RAN_MOST));
+        }
+        for (i, (known, new)) in known.iter_mut().zip(counts).take(slots).enumerate() {
             let more = new.saturating_sub(*known);
             if more == 0 {
                 continue;
@@ -92,7 +116,7 @@
             self.late += (late - self.late) / 64.0;
             self.missed += (f64::from(u8::from(missed)) - self.missed) / 256.0;
             if missed {
-                out.push(slot * SLOT);
+                out.late.push(slot * SLOT);
             } else {
                 *self.open.entry((slot, kind)).or_default() += more.saturating_mul(1 << thin);
             }
--- a/crates/prewarm/src/trial/bytes.rs
+++ b/crates/prewarm/src/trial/bytes.rs
@@ -44,6 +44,7 @@
             });
             let owner = rng.usize(..members);
             machines[owner].arrival(now, kind.map_or(&kinds[0], |(k, _)| k), None);
+            machines[owner].ended(kind.map_or(&kinds[0], |(k, _)| k), SECOND);
             for (_, subject, index, add) in machines[owner].rows() {
                 let counts = rows.entry((owner, subject)).or_default();
                 counts.resize(counts.len().max(index + 1), 0);
--- a/crates/prewarm/src/trial/contest.rs
+++ b/crates/prewarm/src/trial/contest.rs
@@ -9,7 +9,7 @@
 
 use super::days::{Day, Job, START};
 use super::world::World;
-use crate::slots::{Slots, SLOT, WINDOW};
+use crate::slots::{Slots, RAN, RAN_JOBS, RAN_SUM, SLOT, WINDOW};
 use crate::{Config, Effect, Micros, Prewarm, SECOND};
 
 /// Who keeps what warm.
@@ -303,28 +303,30 @@
         let m = &mut self.machines[machine];
         if known {
             m.arrival(job.at, kind, Some(&worker));
+            m.ended(kind, took);
         } else {
             m.keep(job.at, kind, &worker);
         }
-        m.ended(kind, took);
         self.act(machine, job.at);
         self.wake[machine] =
             self.wake[machine].min(self.machines[machine].next_wake().unwrap_or(Micros::MAX));
         if matches!(policy, Policy::Shared(_)) {
-            self.send(job, owner, if known { Some(machine) } else { None });
+            self.send(job, took, owner, if known { Some(machine) } else { None });
         }
     }
 
     /// The owner's row goes to all others.
-    fn send(&mut self, job: &Job, owner: u32, but: Option<usize>) {
+    fn send(&mut self, job: &Job, took: Micros, owner: u32, but: Option<usize>) {
         let window = Slots::window(job.at);
         let (of, counts) = self.rows.entry((owner, job.kind)).or_insert((window, Vec::new()));
         if *of != window {
             (*of, *counts) = (window, Vec::new());
         }
         let place = (job.at % WINDOW / SLOT) as usize;
-        counts.resize(counts.len().max(place + 1), 0);
+        counts.resize(RAN_JOBS + 1, 0);
         counts[place] += 1;
+        counts[RAN_SUM] += took.div_ceil(RAN) as u32;
+        counts[RAN_JOBS] += 1;
         let counts = counts.clone();
         let Trouble { late, lost, .. } = self.setup.trouble;
         for to in (0..self.machines.len()).filter(|to| Some(*to) != but) {
