A drain that the director tells one scheduler is used by all, on sockets

Three real processes with a director that tells the drain to one watch alone: the two others learn of it from the third, and of 60 jobs sent afterwards to all three none reaches the worker that is leaving.

--- a/crates/server/tests/peers.rs
+++ b/crates/server/tests/peers.rs
@@ -1,12 +1,14 @@
 //! Real processes that share: one is killed, one comes back under its name, one stands still, one hears
 //! of a drain from another.
 
-use std::io::{BufRead as _, BufReader};
+use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use oakshed_standin::*;
 
@@ -58,9 +60,9 @@
 }
 
 impl Scheduler {
-    fn start(folder: &Folder, director: &Director, i: usize, at: &[SocketAddr]) -> Scheduler {
+    fn start(folder: &Folder, director: SocketAddr, i: usize, at: &[SocketAddr]) -> Scheduler {
         let name = format!("p{i}");
-        let config = config(director.peer.address, "null", 1024);
+        let config = config(director, "null", 1024);
         let kept = folder.0.join(format!("config-{i}.json"));
         std::fs::rename(&config, &kept).or_else(|_| std::fs::copy(&config, &kept).map(drop)).expect("moved");
         let mut child = Command::new(Program::binary())
@@ -87,6 +89,17 @@
         log.lines().filter(|line| line.contains(&event) && line.contains(&field)).count()
     }
 
+    /// Where clients connect.
+    fn address(&self) -> SocketAddr {
+        let mut at = None;
+        until("the address in the log", || {
+            let log = self.log.lock().unwrap();
+            at = log.split("listens on ").nth(1).and_then(|rest| rest.split(',').next()?.parse().ok());
+            at.is_some()
+        });
+        at.expect("told")
+    }
+
     fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
@@ -105,7 +118,8 @@
 fn five_know_of_one_another_of_a_kill_a_restart_and_a_standstill() {
     let director = Director::new(&[("s-1", good().address)]);
     let (folder, at) = (Folder::new("five"), addresses(5));
-    let mut all: Vec<Scheduler> = (0..5).map(|i| Scheduler::start(&folder, &director, i, &at)).collect();
+    let mut all: Vec<Scheduler> =
+        (0..5).map(|i| Scheduler::start(&folder, director.peer.address, i, &at)).collect();
     let others_told = |all: &[Scheduler], event: &str, i: usize, times: usize| {
         let name = format!("p{i}");
         all.iter().filter(|s| s.name != name).all(|s| s.told(event, "member", &name) >= times)
@@ -114,7 +128,7 @@
     all[4].child.kill().expect("SIGKILL");
     all[4].child.wait().expect("its end");
     until("the kill is known", || others_told(&all, "dead", 4, 1));
-    all[4] = Scheduler::start(&folder, &director, 4, &at);
+    all[4] = Scheduler::start(&folder, director.peer.address, 4, &at);
     until("the new life is known", || others_told(&all, "joined", 4, 2));
     until("it knows the others", || (0..4).all(|i| all[4].told("joined", "member", &format!("p{i}")) >= 1));
     all[1].signal("-STOP");
@@ -144,3 +158,54 @@
     let (right, told) = check();
     assert!(!right && told.contains("/peers/key_file") && told.contains("mode 644"), "{told}");
 }
+
+#[test]
+fn a_drain_that_the_director_tells_one_is_used_by_all() {
+    let (first, second) = (good(), good());
+    let (drains, claimed) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
+    let entry = |name: &str, at: SocketAddr, state: &str| {
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":0}}"#
+        )
+    };
+    let whole = [entry("s-1", first.address, "ready"), entry("s-2", second.address, "ready")].join(",");
+    let drain = entry("s-2", second.address, "draining");
+    let drained = drains.clone();
+    // Of all watches one alone hears of the drain; the others hold, and tell nothing.
+    let director = Peer::new(move |message, stream| {
+        let from = message.first.split("from=").nth(1).and_then(|t| t.split('&').next()?.parse::<u64>().ok());
+        let (number, reset, list) = match from {
+            None => (1, true, whole.as_str()),
+            Some(1) if drained.load(Ordering::SeqCst) && !claimed.swap(true, Ordering::SeqCst) => {
+                (2, false, drain.as_str())
+            }
+            Some(number) => {
+                std::thread::sleep(Duration::from_millis(200)); // the hold of a watch
+                (number, false, "")
+            }
+        };
+        let body = format!(r#"{{"generation":{number},"reset":{reset},"instances":[{list}]}}"#);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all((head + &body).as_bytes()).is_ok()
+    });
+    let (folder, at) = (Folder::new("drain"), addresses(3));
+    let all: Vec<Scheduler> = (0..3).map(|i| Scheduler::start(&folder, director.address, i, &at)).collect();
+    for scheduler in &all {
+        let text = |s: &Scheduler| s.log.lock().unwrap().clone();
+        until("a list", || text(scheduler).contains("list 1 (All)"));
+        until("it knows the others", || text(scheduler).matches("\"event\":\"joined\"").count() == 2);
+    }
+    drains.store(true, Ordering::SeqCst);
+    until("two heard it from the third", || {
+        all.iter().filter(|s| s.told("learned", "worker", "s-2") == 1).count() == 2
+    });
+    let before = second.count();
+    for (i, at) in all.iter().map(Scheduler::address).enumerate() {
+        for n in 0..20 {
+            let answer = ask(at, &req("transfer", &format!("id-{i}-{n}"))).map(|m| m.status());
+            assert_eq!(answer, Some(200));
+        }
+    }
+    assert_eq!(second.count(), before, "a job went to the worker that is leaving");
+    assert!(first.count() >= 60);
+}
