Hold the cold start to 1.15 whole lists a scheduler, and to no refusal up to 200

Need: the first calls are spread over the fleet now, and the trial judged refusals up to 100 schedulers only, so a step back at 200 would have gone unseen. It is held to the figures wanted: counts of calls, which a busy machine does not change; the time of the last list is told, not judged. Ruled out: judging that time, which at 20 schedulers is mostly the processes' own start.

--- a/crates/trials/src/plays/cold.rs
+++ b/crates/trials/src/plays/cold.rs
@@ -14,6 +14,9 @@
 
 const PER_CALL: Duration = Duration::from_millis(20);
 const REFUSE_AFTER: Duration = Duration::from_secs(3);
+/// The most whole lists that may be asked, a scheduler; and up to how many schedulers none may be refused.
+const MOST_WHOLE: f64 = 1.15;
+const MOST_IN_TURN: usize = 200;
 /// Until the calls of a start are over, beyond the last to be ready.
 const WATCHED: Duration = Duration::from_secs(2);
 
@@ -59,9 +62,12 @@
         ),
     ];
     let mut broken: Vec<String> = ready.err().into_iter().collect();
-    if counts.refused > 0 && schedulers <= 100 {
+    if counts.refused > 0 && schedulers <= MOST_IN_TURN {
         broken.push(format!("{} calls refused: the director can serve all in time", counts.refused));
     }
+    if each(counts.whole) > MOST_WHOLE {
+        broken.push(format!("{:.2} whole lists asked a scheduler; at most {MOST_WHOLE}", each(counts.whole)));
+    }
     Ok(Told { figures, broken })
 }
 
