--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -2,14 +2,20 @@
 //!
 //! This file owns what the parts share (clock, facade, counters, the stop) and the timer task. It
 //! must never decide on a req: each step comes from the facade, and what is seen goes back to it.
+//!
+//! The parts use one another in one direction: `front` uses `durable` and `backends`, `durable` uses
+//! `backends`, and `backends` neither. `answers` and `order` are leaves: all three use them, and they
+//! use none of the three. What a fetch has to say goes back through the trait `backends::Told`.
 
 mod admin;
+mod answers;
 pub mod backends;
 mod bans;
 pub mod director;
 mod durable;
 pub mod front;
 mod handover;
+mod order;
 mod peers;
 mod reader;
 
@@ -19,7 +25,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::Poll;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::net::{TcpListener, TcpStream};
@@ -101,17 +107,6 @@
     pub no_room: u64,
 }
 
-/// Writes to a socket that is shared.
-pub(crate) fn poll_write(stream: &TcpStream, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match stream.try_write(buf) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            written => return Poll::Ready(written),
-        }
-    }
-}
-
 /// Tells the other side that nothing more will come.
 pub(crate) fn end_sending(stream: &TcpStream) -> io::Result<()> {
     socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
@@ -134,7 +129,7 @@
     pub ready: Cell<bool>,
     /// Since SIGTERM: reqs that arrive after the first are bounded by the second.
     pub stop: Cell<Option<(Micros, Micros)>>,
-    pub open: front::Open,
+    pub open: order::Open,
     pub others: handover::Others,
     pub bans: bans::Bans,
     /// The list as the director told it.
@@ -160,7 +155,7 @@
             subscribe: Notify::new(),
             ready: Cell::new(false),
             stop: Cell::new(None),
-            open: front::Open::default(),
+            open: order::Open::default(),
             others: handover::Others::default(),
             bans: bans::Bans::default(),
             held: RefCell::default(),
