--- a/crates/peers/tests/fleet/timelines.rs
+++ b/crates/peers/tests/fleet/timelines.rs
@@ -1,7 +1,18 @@
-//! Small fleets as lists of events, to be read as pictures of the protocol.
+//! Small fleets drawn as timelines, to be read as pictures of the protocol.
+
+use oakshed_timeline::{Style, Timeline};
 
 use crate::world::{World, MS, S, START};
 
+/// One column a member, time running down.
+fn draw(world: &World, from: u64) -> String {
+    let mut timeline = Timeline::new(world.slots.iter().map(|slot| slot.name.clone()));
+    for (at, i, told) in world.told.iter().filter(|(at, ..)| *at >= from) {
+        timeline.event(at - START, *i, world.word(told));
+    }
+    timeline.draw(&Style::default())
+}
+
 #[test]
 fn a_member_is_killed_and_comes_back_with_an_empty_memory() {
     let mut world = World::new(4, 1, |_| ());
@@ -10,7 +21,7 @@
     world.run(8 * S);
     world.start(2);
     world.run(3 * S);
-    insta::assert_snapshot!(world.list(START));
+    insta::assert_snapshot!(draw(&world, START));
 }
 
 #[test]
@@ -20,7 +31,7 @@
     let from = world.now;
     world.stall(1, 3 * S);
     world.run(8 * S);
-    insta::assert_snapshot!(world.list(from));
+    insta::assert_snapshot!(draw(&world, from));
 }
 
 #[test]
@@ -33,7 +44,7 @@
     world.heal();
     world.run(3 * S);
     assert!(world.all_know_all());
-    insta::assert_snapshot!(world.list(from));
+    insta::assert_snapshot!(draw(&world, from));
 }
 
 #[test]
--- a/crates/peers/tests/fleet/world.rs
+++ b/crates/peers/tests/fleet/world.rs
@@ -314,16 +314,21 @@
         .collect()
     }
 
+    /// An event as a short word.
+    pub fn word(&self, told: &Told) -> String {
+        match told {
+            Told::Joined(owner) => format!("joined {}", owner.name),
+            Told::Suspected(owner) => format!("{}?", owner.name),
+            Told::Died(owner) => format!("dead {}", owner.name),
+            Told::List(news) => format!("list {news:?}"),
+            Told::Done(word) => word.clone(),
+        }
+    }
+
     /// The events as text: one line each, from a moment on.
     pub fn list(&self, since: Micros) -> String {
         let line = |(at, i, told): &(Micros, usize, Told)| {
-            let word = match told {
-                Told::Joined(owner) => format!("joined {}", owner.name),
-                Told::Suspected(owner) => format!("{}?", owner.name),
-                Told::Died(owner) => format!("dead {}", owner.name),
-                Told::List(news) => format!("list {news:?}"),
-                Told::Done(word) => word.clone(),
-            };
+            let word = self.word(told);
             let ms = (at - START) / MS;
             format!("{:>3}.{:03} {:<4} {word}\n", ms / 1_000, ms % 1_000, self.slots[*i].name)
         };
