Tell peers of the own list only when it has changed: an answer without news undid theirs

Ruled out: a lost datagram (the log shows list 2 from p2 each time) and the decisions (the drain held). Lines at fault: peers::listed, called for every answer. Change: it tells only a number that it has not told. Off without peers, as before.

--- a/crates/server/src/net/peers/mod.rs
+++ b/crates/server/src/net/peers/mod.rs
@@ -7,7 +7,7 @@
 
 mod kept;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +37,8 @@
     node: RefCell<Node>,
     listen: SocketAddr,
     socket: RefCell<Option<UdpSocket>>,
+    /// The number of the own list that the others were last told of.
+    listed: Cell<Option<u64>>,
     /// The own list has changed: there may be something to send.
     changed: Notify,
 }
@@ -62,7 +64,8 @@
         node.learn(old);
     }
     let (socket, changed) = (RefCell::new(socket), Notify::new());
-    Ok(Some(Peers { node: RefCell::new(node), listen: entry.listen, socket, changed }))
+    let (node, listed) = (RefCell::new(node), Cell::new(None));
+    Ok(Some(Peers { node, listen: entry.listen, socket, listed, changed }))
 }
 
 fn bind(at: SocketAddr) -> io::Result<UdpSocket> {
@@ -178,6 +181,11 @@
         return;
     }
     let Some(held) = net.held.borrow().whole() else { return };
+    // Guards against an answer without news that puts the own list, by then the older one, in the place of what
+    // a peer has told meanwhile: that was learned, and logged, anew with each such answer.
+    if peers.listed.replace(Some(held.generation)) == Some(held.generation) {
+        return;
+    }
     let worker = |entry: Entry| Worker {
         id: entry.backend.to_string(),
         standing: if entry.condition == Condition::Active { Standing::Ready } else { Standing::Draining },
