Hold prewarming to its share where another's reckoned call becomes its own; fix seeds

Lines at fault: hold.rs, bounds only where nothing was known. Change: share and room are looked at also where a reckoned hold becomes an own ask.

--- a/crates/peers/tests/bad_peers.rs
+++ b/crates/peers/tests/bad_peers.rs
@@ -33,6 +33,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn any_bytes_are_dropped_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..1_300)) {
         let mut node = node(Some(b"key"));
--- a/crates/peers/tests/rows.rs
+++ b/crates/peers/tests/rows.rs
@@ -36,6 +36,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn any_order_and_any_repetition_read_the_same(
         all in prop::collection::vec(any_row(), 0..60), seed in any::<u64>(), twice in 0usize..60,
--- a/crates/prewarm/src/hold.rs
+++ b/crates/prewarm/src/hold.rs
@@ -108,12 +108,19 @@
         let most = self.most();
         let worker = &mut self.workers[place];
         debug_assert!(worker.may_hold(), "asked what may not be asked: {worker:?}");
-        if known.is_none() {
-            if self.held.len() >= most {
+        // Also what was only reckoned to be another's call: the share may have shrunk since.
+        if known.is_none_or(|h| speak && !h.asked) {
+            let itself = usize::from(known.is_some());
+            if self.held.len() - itself >= most {
                 return Err(Refusal::OverShare);
             }
-            let here = self.held.range((place, 0)..(place + 1, 0)).count();
-            if here >= worker.holds as usize || (speak && !loaded && worker.budget == 0) {
+            let here = self.held.range((place, 0)..(place + 1, 0)).count() - itself;
+            if here >= worker.holds as usize {
+                return Err(Refusal::OverBudget);
+            }
+        }
+        if known.is_none() {
+            if speak && !loaded && worker.budget == 0 {
                 return Err(Refusal::OverBudget);
             }
             worker.budget -= u32::from(speak && !loaded);
--- a/crates/prewarm/tests/laws.rs
+++ b/crates/prewarm/tests/laws.rs
@@ -113,7 +113,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
 
     /// Never to a worker that may not have it, never over its room, never over the share; and the same run
     /// twice is the same.
--- a/crates/quarantine/tests/laws.rs
+++ b/crates/quarantine/tests/laws.rs
@@ -55,7 +55,10 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::with_cases(24)
+    })]
 
     #[test]
     fn rows_in_any_order_and_number_give_the_same_proposal(seed: u64, order: u64, which in 0_usize..10) {
