--- a/crates/server/tests/sockets/backends.rs
+++ b/crates/server/tests/sockets/backends.rs
@@ -5,7 +5,7 @@
 
 use oakshed_standin::*;
 
-use super::{connections, unreachable};
+use super::{connections, gated, unreachable};
 
 #[test]
 fn backend_connections_are_used_again() {
@@ -89,12 +89,7 @@
 
 #[test]
 fn a_backend_that_moves_is_found_at_its_new_address_only() {
-    let (open, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let before = Peer::new(move |message, stream| {
-        _ = gate.lock().unwrap().recv();
-        done(message, stream, "before")
-    });
+    let (before, open) = gated("before");
     let after = good();
     let director = Director::new(&[("s-1", before.address)]);
     let program = Program::start(&director);
--- a/crates/server/tests/sockets/director.rs
+++ b/crates/server/tests/sockets/director.rs
@@ -6,7 +6,7 @@
 
 use oakshed_standin::*;
 
-use super::{serve, unreachable};
+use super::{gated, serve, unreachable};
 
 /// A first start knows no list, and the front brings no req before it is ready: it has to ask by itself.
 #[test]
@@ -115,12 +115,7 @@
 /// against asking the new director for changes since a list of the old one's numbering.
 #[test]
 fn told_to_reload_it_moves_to_the_new_director_and_goes_on_serving() {
-    let (open, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let before = Peer::new(move |message, stream| {
-        _ = gate.lock().unwrap().recv();
-        done(message, stream, "before")
-    });
+    let (before, open) = gated("before");
     let after = good();
     let (old, new) = (Director::new(&[("s-1", before.address)]), Director::new(&[("s-2", after.address)]));
     let program = Program::start(&old);
--- a/crates/server/tests/sockets/main.rs
+++ b/crates/server/tests/sockets/main.rs
@@ -66,3 +66,14 @@
     let entry = format!("{:08X}:{:04X} {state} ", u32::from_ne_bytes(v4.ip().octets()), v4.port());
     std::fs::read_to_string("/proc/net/tcp").expect("the system's list").matches(&entry).count()
 }
+
+/// A backend that serves with this result, one req for each word that is sent.
+fn gated(result: &'static str) -> (Peer, std::sync::mpsc::Sender<()>) {
+    let (open, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let peer = Peer::new(move |message, stream| {
+        _ = gate.lock().unwrap().recv();
+        done(message, stream, result)
+    });
+    (peer, open)
+}
