Draw by weights and kinds' speeds, ask the chosen worker first, rest the cap on work done

Cause, by part: - Weights never reached the module, and kinds' speeds were not learned: with reports in answers and some requests a second at each of 300 schedulers nearly all picks were uniform, though a large worker of the other customer does several times a small one's work. Now the chosen one is asked, once a job, and the job goes there where nothing waits, or else to the better of it and another. The floor is the work done lately, the start sixteen times a scheduler's part of the fleet.

Tests changed with the mechanism: no job waited for a probe (now: for a moment, one probe a job, and the silent one is left); a wide job that fits nowhere held a basic one up (now: only what a freed slot would serve does); the cap of who is never served comes under 1, not 5, so that 10 jobs are out at the end, not 15.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1,10 +1,8 @@
-//! All decisions of a dispatcher. Its interface (settings, events, actions) is in interface/;
-//! what it remembers is in state/.
+//! All decisions of a dispatcher. Its interface is in interface/; what it remembers is in state/.
 //!
-//! The mechanism is the acceptor of "Web Server Support for Tiered Services" (HPL-1999-160): jobs
-//! wait in per-tier queues, leave strictly top tier first while own outstanding slots stay under a
-//! learned cap, and basic jobs are refused first. The worker is the better of two random fitting
-//! ones. docs/design.md tells what was kept and what was added.
+//! The mechanism is the acceptor of "Web Server Support for Tiered Services" (HPL-1999-160): jobs wait in
+//! per-tier queues, leave strictly top tier first while own outstanding slots stay under a learned cap, and
+//! basic jobs are refused first. docs/design.md tells what was added.
 
 use std::collections::BTreeSet;
 
@@ -26,48 +24,39 @@
 const PATIENCE_RUNNING: f64 = 4.0;
 /// The back-off from a silent or failing worker doubles this often at most.
 const MAX_DOUBLINGS: u32 = 4;
-/// The cap's start, in slots a listed worker: large on purpose, and no mere part of the fleet, as some
-/// dispatchers get several times the mean. The first late starts bring it down by halves.
+/// The cap's start: slots a listed worker, for so many times a dispatcher's part of the fleet, as some get
+/// several times the mean. Large on purpose; the first late starts bring it down by halves.
 const CAP_START: f64 = 8.0;
+const CAP_UNEVEN: f64 = 16.0;
 /// What a prompt start adds to the cap and a 'full' takes, per slot: it rests at a quarter late.
 const CAP_CLIMB: f64 = 0.1;
 const CAP_FALL: f64 = 0.3;
-/// Weight of a start in the share of late ones: with more than the cap rests at, it comes down by rounds.
-const LEARN_LATE: f64 = 0.15;
+/// Weight of a start in the share of late ones, and in its zone's wait.
+const LEARN_SOON: f64 = 0.15;
 /// Free slots a worker is taken to have where no reports come: with more, a full one is tried too soon.
 const UNTOLD: f64 = 4.0;
 /// Slots by which the cap may lie over twice what is out: few jobs come in bursts of several times a mean.
 const CAP_ROOM: f64 = 4.0;
-/// The least cap: slots, and the share of what comes in. Keeps feedback coming, on any size of scheduler.
+/// The least cap in slots, where nothing was done lately. Keeps feedback coming, on any size of scheduler.
 const CAP_LEAST: f64 = 0.25;
-const CAP_LEAST_SHARE: f64 = 0.75;
-/// Mean running times for which a worker's pace is believed: slowness passes, and is tried again. Where it
-/// is met less often than that, until it is met again, but no longer than troubles last.
-const PACE_HOLDS: f64 = 8.0;
+/// Mean running times for which a worker's wait is believed: it passes, and is tried again. Where it is met
+/// less often than that, until it is met again, but no longer than troubles last.
+const WAIT_HOLDS: f64 = 8.0;
 const MET_AGAIN: f64 = 8e6;
-/// A worker this much slower than the mean is given only jobs that still end in time there.
-const SLOW: f64 = 1.5;
 /// Share of the slack from a job's own work that holding leaves unused: small jobs have less.
 const KEPT: f64 = 0.5;
 /// Random draws for a fitting pair, and held jobs looked past that found none.
 const DRAWS: usize = 8;
-/// A worker in another zone counts as this many slots busier: a crossing takes time, and has a price.
-const CROSS_SLOTS: f64 = 0.3;
-const CROSS_PRICE_SLOTS: f64 = 160.0;
-/// Slots that a charged new connection is worth, for a price of the whole result.
-const HANDSHAKE_SLOTS: f64 = 20.0;
+/// Slots that a worker in another zone counts as busier, for a price of the whole result.
+const CROSS_SLOTS: f64 = 160.0;
 /// Slots that a worker counts busier for each mean running time that own jobs waited there lately: a
-/// late start outweighs a crossing. The last few count, for as long as a pace is believed.
+/// late start outweighs a crossing. The last few count.
 const WAIT_SLOTS: f64 = 12.0;
 const LEARN_WAIT: f64 = 0.5;
-/// The same for a zone, which stands for those of its workers of which nothing is known lately.
-const LEARN_ZONE: f64 = 0.15;
 /// Errors in a row from which on a worker is avoided as a failing one.
 const ERRORS: u32 = 2;
 /// Share of a cold worker's budget that is used; the rest is for chance, and for workers below the mean.
 const COLD_SAFETY: f64 = 0.8;
-/// Probes out at once.
-const MOST_PROBES: u32 = 16;
 /// Where more schedulers than a few share discovery, each leaves it this long for every one beyond: what a
 /// start without a list needs. Such a start is ready within 10 s, the turn and the answer included.
 const FEW: u32 = 4;
@@ -96,6 +85,7 @@
             mean_run,
             report_spans: mean_run / 2.0,
             report_changes: 1.0,
+            size: 1.0,
             tiers: vec![BTreeSet::new(); keys.len() * if settings.tenants.is_empty() { 1 } else { 2 }],
             wake_at: Micros::MAX,
             ask_at: if settings.list_on_request { 0 } else { Micros::MAX },
@@ -132,6 +122,9 @@
     pub fn dispatch(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.now = now;
         self.watch_for_silence();
+        if self.since(self.weighed_at) > self.mean_run {
+            self.weigh_pools();
+        }
         self.refuse_hopeless();
         self.release();
         if self.ask_at == 0 {
@@ -173,9 +166,7 @@
         }
         let lag = self.report_lag();
         let worker = &mut self.workers[w];
-        // Own sends since the sample was taken are not in it yet.
-        let unseen = if lag > 0.0 { worker.out - worker.lagged_out } else { 0.0 };
-        worker.free = free - unseen - report.backlog.unwrap_or(0.0);
+        worker.free = free - report.backlog.unwrap_or(0.0);
         (worker.memory, worker.heard) = (report.free_memory, Some(self.now.saturating_sub(lag as Micros)));
         self.mean_free += LEARN * (free - self.mean_free);
     }
@@ -194,15 +185,14 @@
     /// Free slots as last heard, discounted by age towards the fleet's mean, or one, which stands for the
     /// unheard-from (with less, nothing would be sent or heard); one with more own jobs has fewer free.
     fn expected_free(&self, w: usize) -> f64 {
-        let own_mean = self.out / self.live.len().max(1) as f64;
-        let mean = self.mean_free.max(1.0) + own_mean - self.workers[w].out;
+        let (own_mean, size) = (self.out / self.live.len().max(1) as f64, self.size(w));
+        let mean = (size * self.mean_free).max(1.0) + size * own_mean - self.workers[w].out;
         let fresh = self.freshness(w);
         fresh * self.workers[w].free + (1.0 - fresh) * mean
     }
 
-    /// Guards against workers that take jobs and answer none (vanished, hung, cut off): no sends
-    /// long before a deadline, then sparing trials. Any news from the worker ends it. Looked for
-    /// apart from the pick: with the cap full of such jobs no worker is drawn any more.
+    /// Guards against workers that take jobs and answer none (vanished, hung, cut off): no sends long before
+    /// a deadline, then sparing trials. Not in the pick: with the cap full of such jobs nobody is drawn.
     fn watch_for_silence(&mut self) {
         while let Some(w) = self.next_to_watch(self.mean_run / 2.0) {
             self.miss_progress(w);
@@ -242,31 +232,36 @@
         (worker.shun_until, worker.trials) = (self.now + doubled as Micros, worker.trials + 1);
     }
 
-    /// How far a pace, or a wait, that was learned then of one among so many still holds: 1 just learned, 0
-    /// long ago.
+    /// How far a wait that was learned then of one among so many still holds: 1 just learned, 0 long ago.
     fn still_holds(&self, learned_at: Micros, among: usize) -> f64 {
         let met_again = (among as f64 / self.coming.last).min(MET_AGAIN);
-        (-self.since(learned_at) / (PACE_HOLDS * self.mean_run + met_again)).exp()
-    }
-
-    fn expected_run(&self, class: usize, w: usize) -> f64 {
-        let worker = &self.workers[w];
-        let fresh = self.still_holds(worker.paced_at, self.live.len());
-        self.classes[class].run * (1.0 + fresh * (worker.pace - 1.0))
+        (-self.since(learned_at) / (WAIT_HOLDS * self.mean_run + met_again)).exp()
     }
 
     /// Small jobs count for less: what a run costs whatever its size, such as a fetch, would else
     /// make all of a class look several times as long as they are.
     fn learn_run(&mut self, class: usize, w: usize, ran: f64, size: f64) {
         let (unit, weight) = (ran / size, size.min(1.0));
-        let worker = &mut self.workers[w];
-        worker.pace += 4.0 * LEARN * weight * (unit / self.classes[class].run - worker.pace);
-        worker.paced_at = self.now;
         let belief = &mut self.classes[class];
         belief.run += LEARN * weight * (unit - belief.run);
         belief.served += weight;
         belief.work += (unit - belief.work) * weight * (1.0 / belief.served).max(LEARN_WORK);
         self.mean_run += LEARN * (ran - self.mean_run);
+        let (kind, unit) = (self.workers[w].kind, unit / self.classes[class].work);
+        let (pace, seen) = self.kinds.entry(kind).or_insert((1.0, 1.0 / LEARN));
+        *seen += weight;
+        *pace += weight * (1.0 / *seen).max(LEARN_WORK) * (unit - *pace);
+    }
+
+    /// What a worker can do: its weight in the list, by how fast its kind has run jobs.
+    pub(crate) fn raw_size(&self, w: usize) -> f64 {
+        let weight = if self.settings.weights == Weights::None { 1.0 } else { self.workers[w].weight };
+        weight / self.kinds.get(&self.workers[w].kind).map_or(1.0, |(pace, _)| pace.max(LEARN))
+    }
+
+    /// The same against the mean of all.
+    fn size(&self, w: usize) -> f64 {
+        self.raw_size(w) / self.size
     }
 
     // ---- Tiers and admission ----
@@ -279,7 +274,6 @@
 
     fn on_request(&mut self, id: RequestId, mut r: Request, tenant: usize, remaining: Micros) {
         self.count_coming();
-        self.probe_unmet();
         let beyond = self.over_share(tenant); // worth little: it waits below all tiers within shares
         let Some(belief) = self.classes.get_mut(r.class) else {
             return self.actions.push(Action::Refuse { id, retry_after: None });
@@ -352,19 +346,27 @@
             self.round_until = self.now + self.mean_run as Micros;
         }
         let cap = self.cap.max(self.least_cap());
+        let (mut asking, mut blocked) = (0.0, false);
         for tier in 0..self.tiers.len() {
             let (mut after, mut passed) = ((0, RequestId(0)), 0);
-            while self.out - self.aside < (cap + self.cap_dither).floor() && passed <= DRAWS {
+            while self.out - self.aside + asking < (cap + self.cap_dither).floor() && passed <= DRAWS {
                 let Some(&(leave_by, id)) = self.tiers[tier].range(after..).next() else { break };
                 after = (leave_by, RequestId(id.0.saturating_add(1)));
-                if let Some(w) = self.pick(id) {
-                    self.dequeue(id);
-                    self.send(id, w);
+                if self.awaits_probe(id) {
+                    asking += self.requests[&id].slots;
+                } else if let Some(w) = self.pick(id) {
+                    match self.ask_first(id, w) {
+                        true => asking += self.requests[&id].slots,
+                        false => self.send(id, w),
+                    }
                 } else {
-                    passed += 1;
+                    // Who can go to some workers only, or is wide, holds up nobody who could leave.
+                    let r = &self.requests[&id];
+                    let bound = self.settings.classes[r.class].kind.is_some() || !r.attempts.is_empty();
+                    (passed, blocked) = (passed + 1, blocked || !bound && r.slots <= 1.0);
                 }
             }
-            if !self.tiers[tier].is_empty() {
+            if blocked || self.tiers[tier].range(after..).next().is_some() {
                 break;
             }
         }
@@ -373,7 +375,7 @@
     // ---- The cap ----
 
     fn accepted(&mut self, slots: f64) {
-        self.late -= LEARN_LATE * self.late;
+        self.late -= LEARN_SOON * self.late;
         if 2.0 * (self.out + slots) + CAP_ROOM > self.cap {
             self.cap += CAP_CLIMB * slots * (0.5 + self.rng.f64());
         }
@@ -382,7 +384,7 @@
     /// Each falls by a step. Where many are late, a cap above what is at work, and its chance, comes down
     /// there by half, once in a round of feedback of jittered length: what is out would count queues as well.
     fn not_accepted(&mut self, slots: f64) {
-        self.late += LEARN_LATE * (1.0 - self.late);
+        self.late += LEARN_SOON * (1.0 - self.late);
         if self.now >= self.round_until && self.late > CAP_CLIMB / (CAP_CLIMB + CAP_FALL) {
             self.round_until = self.now + (self.mean_run * (0.75 + 0.5 * self.rng.f64())) as Micros;
             let at_work = self.at_work();
@@ -392,43 +394,51 @@
         self.cap = (self.cap - CAP_FALL * slots).max(self.least_cap());
     }
 
-    /// A part of what comes in, in slots, whatever was learned: a few late starts tell little of the fleet.
+    /// What was at work for it lately, whatever was learned: a few late starts tell little of the fleet. No
+    /// part of what comes in: that may be more than all can do, repeats included, and queues outlive a blow.
     fn least_cap(&self) -> f64 {
-        (CAP_LEAST_SHARE * self.coming.last * self.mean_run).max(CAP_LEAST)
+        self.at_work().max(CAP_LEAST)
     }
 
     // ---- The pick ----
 
     /// The better of two random fitting workers, or none: then the job stays held. Every other draw is
-    /// from the own zone where crossings are charged, and all from a key's home on the ring, where what
-    /// was fetched is used again; the group to which a keyed job is bound is gone through as a whole, from a
-    /// random place: else all that are sent again go to the list's head.
+    /// from the own zone where crossings are charged, and all from a key's home on the ring, where what was
+    /// fetched is used again; the group that a keyed job is bound to is gone through, from a random place.
     fn pick(&mut self, id: RequestId) -> Option<usize> {
         let r = self.requests.get(&id)?;
-        let (class, key) = (r.class, r.key);
+        let (class, key, asked) = (r.class, r.key, r.asked);
         let group = self.group_of(r).filter(|(scope, _)| *scope != Scope::All);
         let (bound, home, all) = (group.is_some(), key.map(|key| self.home(key)), self.live.len());
         // The price of a crossing is drawn anew for each job: else all would cross at the same moment.
-        let cross = 2.0 * self.rng.f64() * (CROSS_SLOTS + CROSS_PRICE_SLOTS * self.settings.cross_price);
+        let cross = 2.0 * self.rng.f64() * CROSS_SLOTS * self.settings.cross_price;
         let charged = self.settings.cross_price > 0.0
             && !self.near.is_empty()
             && self.zone_lateness(self.settings.zone) < cross;
         let (mut best, mut found, start) = (None::<(f64, usize)>, 0, self.rng.usize(..all.max(1)));
+        if let Some((w, _)) = asked.filter(|(w, at)| self.workers[*w].probed_at >= *at) {
+            if self.fits(id, w, group) {
+                (best, found) = (Some((self.load(w, cross), w)), 1);
+                if self.workers[w].wait == 0.0 {
+                    return Some(w);
+                }
+            }
+        }
         for draw in 0..if bound { all } else { DRAWS } {
             let pool = match self.settings.classes[class].kind {
                 Some(kind) if !bound => self.live_by_kind.get(&kind)?,
                 _ if charged && !bound && draw % 2 == 0 => &self.near,
                 _ => &self.live,
             };
-            let at = if bound { (start + draw) % pool.len() } else { self.rng.usize(..pool.len().max(1)) };
             let w = match home.filter(|_| !bound && !self.ring.is_empty()) {
                 Some(home) => self.ring[(home + draw) % self.ring.len()].1,
-                None => *pool.get(at)?,
+                None if bound => pool.workers[(start + draw) % all],
+                None => pool.draw(&mut self.rng)?,
             };
             if best.is_some_and(|b| b.1 == w) || !self.fits(id, w, group) {
                 continue;
             }
-            let found_one = (self.load(class, w, cross), w);
+            let found_one = (self.load(w, cross), w);
             best = best.filter(|b| b.0 <= found_one.0).or(Some(found_one));
             found += 1;
             if found == 2 {
@@ -438,18 +448,14 @@
         best.map(|b| b.1)
     }
 
-    /// What the pick compares, in slots: expected free ones, the pace and what a send costs extra.
-    fn load(&self, class: usize, w: usize, cross: f64) -> f64 {
-        let worker = &self.workers[w];
-        let cross = cross * f64::from(u8::from(worker.zone != self.settings.zone));
-        let pace = self.expected_run(class, w) / self.classes[class].run.max(1.0);
-        let dial = if worker.idle_until > self.now { 0.0 } else { self.settings.handshake_price };
-        cross + pace + HANDSHAKE_SLOTS * dial + self.lateness(w) - self.expected_free(w)
+    /// What the pick compares, in slots: expected free ones and what a send costs extra.
+    fn load(&self, w: usize, cross: f64) -> f64 {
+        let cross = cross * f64::from(u8::from(self.workers[w].zone != self.settings.zone));
+        cross + self.lateness(w) - self.expected_free(w)
     }
 
     /// What own jobs waited there lately, in slots: at the worker, or where none was there, in its zone.
-    /// Guards against staying in a zone that others fill, or that is lost: with a few jobs out among
-    /// many workers, own counts show nothing of it.
+    /// Guards against staying in a zone that others fill, or that is lost: own counts show nothing of it.
     fn lateness(&self, w: usize) -> f64 {
         let worker = &self.workers[w];
         let known = self.still_holds(worker.waited_at, self.live.len());
@@ -468,7 +474,7 @@
         worker.waited_at = self.now;
         let (wait, at) = self.zones.get(&worker.zone).copied().unwrap_or_default();
         let held = self.still_holds(at, 0) * wait;
-        self.zones.insert(self.workers[w].zone, (held + LEARN_ZONE * (waited - held), self.now));
+        self.zones.insert(self.workers[w].zone, (held + LEARN_SOON * (waited - held), self.now));
     }
 
     fn fits(&mut self, id: RequestId, w: usize, group: Option<(Scope, usize)>) -> bool {
@@ -477,10 +483,6 @@
         let in_group = group.is_none_or(|(scope, first)| self.same_group(scope, first, w));
         let tried = r.attempts.iter().any(|a| a.worker == w);
         let may = self.available(w) && in_group && !tried && kind.is_none_or(|k| k == worker.kind);
-        // Too slow for the job, and slower than the rest: when all slow down, none is to blame.
-        let run = self.expected_run(r.class, w) * r.size;
-        let (usual, aim) = (self.classes[r.class].run * r.size, r.aim_at as f64);
-        let in_time = self.now as f64 + run <= aim || r.leave_by as f64 + usual > aim && run < SLOW * usual;
         let memory = self.freshness(w) < 0.5 || worker.memory.is_none_or(|m| m >= r.memory);
         // An own job that should have started and has not is waiting there.
         let queue = worker.unstarted > 0
@@ -488,30 +490,34 @@
             && self.since(worker.last_sent) > QUEUED * self.slack(r.class);
         let least = r.slots.clamp(1.0, CAP_START);
         let room = memory && !queue && self.expected_free(w) + worker.dither >= least;
-        may && in_time && room && self.cold_allows(w)
-    }
-
-    /// Guards against knowing too little where many dispatchers meet each worker seldom: for each request,
-    /// beside its way, one is drawn, and asked how much waits there unless it was met lately.
-    fn probe_unmet(&mut self) {
-        let s = &self.settings;
-        if !s.may_probe
-            || s.reports != Reports::Probe
-            || self.live.is_empty()
-            || self.probes_out >= MOST_PROBES
-        {
-            return;
-        }
-        let w = self.live[self.rng.usize(..self.live.len())];
-        if self.since(self.workers[w].waited_at) > self.mean_run {
-            self.probes_out += 1;
+        may && room && self.cold_allows(w)
+    }
+
+    /// Guards against knowing too little where many dispatchers meet each worker seldom: who was chosen and
+    /// not met lately is asked first how much waits there. If nothing does the job goes there, else to the
+    /// better of it and another ("Adaptive load sharing", Eager, Lazowska, Zahorjan, 1986; one probe a job).
+    fn ask_first(&mut self, id: RequestId, w: usize) -> bool {
+        let (now, r) = (self.now, &self.requests[&id]);
+        let late = now as f64 + QUEUED * self.slack(r.class) >= r.leave_by as f64;
+        let known = self.since(self.workers[w].waited_at) <= self.mean_run;
+        let asks = self.settings.may_probe && r.asked.is_none() && !late && !known;
+        if asks {
             self.actions.extend(self.workers[w].id.map(|worker| Action::Probe { worker }));
+            self.requests.get_mut(&id).into_iter().for_each(|r| r.asked = Some((w, now)));
         }
+        asks
+    }
+
+    /// Whether a job's probe is out, and may yet be answered in time: who takes longer has a queue, or hangs.
+    fn awaits_probe(&self, id: RequestId) -> bool {
+        let r = &self.requests[&id];
+        let moment = QUEUED * self.slack(r.class);
+        r.asked.is_some_and(|(w, at)| self.workers[w].probed_at < at && self.since(at) < moment)
     }
 
     fn on_probed(&mut self, worker: WorkerId, ending: Ending, report: Option<Report>) {
-        self.probes_out = self.probes_out.saturating_sub(1);
         let Some(&w) = self.index.get(&worker) else { return };
+        self.workers[w].probed_at = self.now;
         let told = report.filter(|_| ending == Ending::Delivered).unwrap_or_default();
         let waiting = told.backlog.unwrap_or(if ending == Ending::Delivered { 0.0 } else { PATIENCE });
         let running = told.outstanding.map_or(1.0, |all| (all - waiting).max(1.0));
@@ -524,10 +530,11 @@
     // ---- Attempts and time-outs ----
 
     fn send(&mut self, id: RequestId, w: usize) {
+        self.dequeue(id);
         let whole_by = self.requests.get(&id).and_then(|r| self.whole_by(r));
         let Some(class) = self.open_attempt(id, w) else { return };
         let r = &self.requests[&id];
-        let cost = r.slots * r.size * self.expected_run(class, w);
+        let cost = r.slots * r.size * self.classes[class].run;
         let worker = &mut self.workers[w];
         (worker.budget, worker.dither) = (worker.budget - cost, self.rng.f64());
         self.actions.extend(worker.id.map(|worker| Action::Send { id, worker, whole_by }));
@@ -577,23 +584,21 @@
             // use for now: the others are not to blame.
             Ending::Shed => {
                 self.workers[w].turned_away += 1;
-                match self.workers[w].turned_away {
-                    1 => {
-                        self.on_news(w);
-                        self.learn_wait(w, self.slack(class));
-                        self.mark_full(w);
-                        self.not_accepted(slots);
-                    }
-                    _ => self.shun(w, PATIENCE * self.mean_run),
+                if self.workers[w].turned_away > 1 {
+                    self.shun(w, PATIENCE * self.mean_run);
+                } else {
+                    self.on_news(w);
+                    self.learn_wait(w, self.slack(class));
+                    self.mark_full(w);
+                    self.not_accepted(slots);
                 }
             }
             // It says nothing of the others' load: a dead zone must not draw the cap down.
             Ending::DialFailed | Ending::Dropped | Ending::Expired => {
-                let dial = 4.0 * self.settings.connect_timeout as f64;
                 if started.is_none() {
                     self.learn_wait(w, self.slack(class)); // however soon: a refused dial is no prompt start
                 }
-                self.shun(w, if how == Ending::DialFailed { dial } else { PATIENCE * self.mean_run });
+                self.shun(w, PATIENCE * self.mean_run);
             }
             Ending::Revoked | Ending::Unused => {}
         }
@@ -617,11 +622,10 @@
 
     // ---- The cold budget ----
 
-    /// Guards against pushing over a worker that has just started. Each dispatcher sends it the
-    /// stated multiple of its own usual share of a warm worker's work (done, not waiting: what waits in a
-    /// fleet that is too full is no worker's capacity), in step with the slowest allowed ramp: if all do,
-    /// the sum stays under the multiple of what the worker can do. Below one job a span, a random first
-    /// debt (see `on_list`) decides whose job is the one.
+    /// Guards against pushing over a worker that has just started. Each dispatcher sends it the multiple of
+    /// its usual share of a warm worker's work (done, not waiting: that is no capacity), in step with the
+    /// slowest allowed ramp: if all do, the sum stays under the multiple of what the worker can do. Below
+    /// one job a span, a random first debt (see `on_list`) decides whose job is the one.
     fn cold_allows(&mut self, w: usize) -> bool {
         let (s, share) = (&self.settings, self.warm_share(w));
         if share >= 1.0 {
@@ -629,7 +633,8 @@
         }
         // Two processes of this scheduler, while both live, each count what they have done themselves.
         let least = 0.5 / f64::from(s.dispatchers) / (1 + self.sharers) as f64;
-        let rate = COLD_SAFETY * s.fall_multiple * share * self.usual().max(least);
+        // A large one gets no more than the mean: what is believed of sizes is rough.
+        let rate = COLD_SAFETY * s.fall_multiple * share * self.size(w).min(1.0) * self.usual().max(least);
         let budget = self.workers[w].budget + rate * self.since(self.workers[w].budget_at);
         self.workers[w].budget = budget.min(0.5 * rate * s.fall_span as f64);
         self.workers[w].budget_at = self.now;
@@ -660,7 +665,8 @@
         }
         self.refill_pools();
         if self.cap == 0.0 {
-            self.cap = CAP_START * self.live.len() as f64;
+            let part = (CAP_UNEVEN / f64::from(self.settings.dispatchers)).min(1.0);
+            self.cap = CAP_START * part * self.live.len() as f64;
         }
     }
 
--- a/crates/core/src/facade/mod.rs
+++ b/crates/core/src/facade/mod.rs
@@ -229,6 +229,7 @@
             zone: e.zone,
             kind: e.kind,
             cell: e.cell,
+            weight: e.weight,
             condition: e.condition,
             online_since: e.online_since,
         };
--- a/crates/core/src/facade/types.rs
+++ b/crates/core/src/facade/types.rs
@@ -73,6 +73,8 @@
     pub kind: u32,
     /// Its cell.
     pub cell: u32,
+    /// What it can do, against the others, as the list has it; 1 where it has nothing usable.
+    pub weight: f64,
     /// Its state.
     pub condition: Condition,
     /// When it last started; 0: long ago.
--- a/crates/core/src/interface/mod.rs
+++ b/crates/core/src/interface/mod.rs
@@ -5,7 +5,7 @@
 
 mod settings;
 
-pub use settings::{Class, Effect, Reports, Scope, Settings, SettingsError, TOLD_ANYWAY};
+pub use settings::{Class, Effect, Reports, Scope, Settings, SettingsError, Weights, TOLD_ANYWAY};
 
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
@@ -44,6 +44,8 @@
     pub kind: u32,
     /// Its cell.
     pub cell: u32,
+    /// What it can do, against the others, by the settings' [`Weights`]; what is no positive number counts as 1.
+    pub weight: f64,
     /// Its state.
     pub condition: Condition,
     /// When it last started; 0: long ago.
--- a/crates/core/src/interface/settings.rs
+++ b/crates/core/src/interface/settings.rs
@@ -60,6 +60,17 @@
     None,
 }
 
+/// What the weights in the list hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Nothing: always 1.
+    None,
+    /// A worker's size, or roughly that.
+    Size,
+    /// Its size, divided by 1 and what it held for each core a while ago: changes with each list.
+    Live,
+}
+
 /// Whatever discovery has to tell counts as told so long after it had it and could be reached, arrived or
 /// not: the protocol's figure, which goes before all others.
 pub const TOLD_ANYWAY: Micros = 6_000_000;
@@ -81,6 +92,8 @@
     pub list_on_request: bool,
     /// Without a subscription, a dispatcher must ask this often.
     pub ask_every: Micros,
+    /// What the weights in the list hold.
+    pub weights: Weights,
     /// Workers tell when a job starts.
     pub tells_start: bool,
     /// Workers start waiting jobs strictly in the order in which these came.
@@ -103,8 +116,6 @@
     pub idle_close: Micros,
     /// A connection not up after this is a failed dial.
     pub connect_timeout: Micros,
-    /// The price of a new connection, in parts of the result for each request; 0: free.
-    pub handshake_price: f64,
     /// The price of an attempt that crosses zones, in parts of the result for each request; 0: free.
     pub cross_price: f64,
     /// Least time between batches.
@@ -144,6 +155,7 @@
             tenants: Vec::new(),
             list_on_request: false,
             ask_every: 10_000_000,
+            weights: Weights::None,
             tells_start: true,
             in_order: false,
             progress_every: 0,
@@ -155,7 +167,6 @@
             max_attempts: 6,
             idle_close: 60_000_000,
             connect_timeout: 120_000,
-            handshake_price: 0.0,
             cross_price: 0.0,
             tick: 2_000,
             cold_share: 0.3,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,7 @@
 //! let mut dispatcher = Dispatcher::new(settings, 7).unwrap();
 //! let row = Row {
 //!     worker: WorkerId(0), zone: 0, kind: 0, cell: 0,
-//!     condition: Condition::Active, online_since: 0,
+//!     condition: Condition::Active, weight: 1.0, online_since: 0,
 //! };
 //! dispatcher.on_event(1_000, Event::List { kind: ListKind::Remembered, rows: &[row] });
 //! let id = RequestId(42);
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -16,6 +16,7 @@
                 zone: UNKNOWN,
                 kind: UNKNOWN,
                 cell: UNKNOWN,
+                weight: 1.0,
                 condition: Condition::Left,
                 online_since: 0,
             };
@@ -55,7 +56,6 @@
         }
         worker.unstarted += u32::from(self.settings.tells_start);
         worker.last_sent = sent;
-        worker.idle_until = sent + self.settings.idle_close;
         self.occupy(w, slots);
         self.leaving.count(sent, 1.0, LEAVING_SPAN * self.mean_run);
         Some(class)
--- a/crates/core/src/state/list.rs
+++ b/crates/core/src/state/list.rs
@@ -3,13 +3,16 @@
 //! It owns the workers' places and their forgetting. It must never drop one of which anything is still
 //! out, nor lift a ban.
 
-use super::{Dispatcher, Request, Worker};
+use super::{Dispatcher, Pool, Request, Worker};
 use crate::figures::Members;
 use crate::interface::*;
 
 /// Places on the ring for each worker: with one each, some would be home to five times their share.
 const RING_PLACES: u64 = 32;
 
+/// Weights below this, or above as much, are no usable ones: sums of them would lose all others.
+const LEAST_WEIGHT: f64 = 1e-6;
+
 /// Workers that are gone are remembered up to this number beside the active ones.
 pub(super) const GONE_KEPT: usize = 4_096;
 
@@ -46,10 +49,12 @@
     pub(crate) fn enter(&mut self, row: &Row) -> (usize, bool) {
         let w = *self.index.entry(row.worker).or_insert(self.workers.len());
         if w == self.workers.len() {
-            self.workers.push(Worker { id: Some(row.worker), pace: 1.0, ..Worker::default() });
+            self.workers.push(Worker { id: Some(row.worker), ..Worker::default() });
         }
         let worker = &mut self.workers[w];
         (worker.zone, worker.kind, worker.cell) = (row.zone, row.kind, row.cell);
+        worker.weight =
+            if (LEAST_WEIGHT..=1.0 / LEAST_WEIGHT).contains(&row.weight) { row.weight } else { 1.0 };
         worker.active = row.condition == Condition::Active;
         worker.listed = row.condition != Condition::Left;
         let restarted = worker.online_since != row.online_since;
@@ -61,7 +66,7 @@
             worker.shun_until = 0;
             (worker.wait, worker.errors, worker.turned_away) = (0.0, 0, 0);
         }
-        let back = worker.online_since > 0 && worker.active && self.live.binary_search(&w).is_err();
+        let back = worker.online_since > 0 && worker.active && self.live.workers.binary_search(&w).is_err();
         let fresh = restarted || back;
         if fresh {
             worker.budget_at = self.now;
@@ -78,7 +83,7 @@
         if self.ring.is_empty() {
             let id = |w: usize| self.workers[w].id.map_or(0, |id| id.0);
             let places = |&w: &usize| (0..RING_PLACES).map(move |n| (mix(id(w).wrapping_add(mix(n))), w));
-            self.ring = self.live.iter().flat_map(places).collect();
+            self.ring = self.live.workers.iter().flat_map(places).collect();
             self.ring.sort_unstable();
         }
         self.ring.partition_point(|place| place.0 < mix(key))
@@ -129,6 +134,7 @@
         }
         let mut kept: Vec<bool> = self.workers.iter().map(|w| w.active).collect();
         self.requests.values().flat_map(|r| &r.attempts).for_each(|a| kept[a.worker] = true);
+        self.requests.values().filter_map(|r| r.asked).for_each(|(w, _)| kept[w] = true);
         let mut place = vec![None; kept.len()];
         for (w, worker) in std::mem::take(&mut self.workers).into_iter().enumerate().filter(|(w, _)| kept[*w])
         {
@@ -138,6 +144,8 @@
         let moved = |w: &mut usize| place[*w].inspect(|to| *w = *to).is_some();
         self.index.retain(|_, w| moved(w));
         self.watched.retain_mut(|(_, w)| moved(w));
+        let asked = self.requests.values_mut().filter_map(|r| r.asked.as_mut());
+        asked.for_each(|(w, _)| _ = moved(w));
         let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
         attempts.for_each(|a| _ = moved(&mut a.worker));
     }
@@ -145,15 +153,16 @@
     /// Sorts the active workers into the pools that picks draw from.
     pub(crate) fn refill_pools(&mut self) {
         self.forget_gone();
-        self.live = (0..self.workers.len()).filter(|&w| self.usable(w)).collect();
+        self.live = Pool::of((0..self.workers.len()).filter(|&w| self.usable(w)).collect());
         let near = |w: &usize| self.workers[*w].zone == self.settings.zone;
-        self.near = self.live.iter().copied().filter(near).collect();
-        self.warmth = self.live.iter().map(|&w| self.warm_share(w)).sum();
+        self.near = Pool::of(self.live.workers.iter().copied().filter(near).collect());
+        self.warmth = self.live.workers.iter().map(|&w| self.warm_share(w)).sum();
         self.live_by_kind.clear();
-        for &w in &self.live {
-            self.live_by_kind.entry(self.workers[w].kind).or_default().push(w);
+        for &w in &self.live.workers {
+            self.live_by_kind.entry(self.workers[w].kind).or_default().workers.push(w);
         }
         self.ring.clear();
+        self.weigh_pools();
     }
 }
 
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -10,12 +10,14 @@
 
 mod attempts;
 mod list;
+mod pool;
 mod processes;
 mod rates;
 mod request;
 mod settings;
 mod worker;
 
+pub(crate) use pool::Pool;
 pub(crate) use rates::{ClassBelief, Rate};
 pub(crate) use request::{Attempt, Ended, Request};
 pub(crate) use worker::Worker;
@@ -31,12 +33,17 @@
     /// All workers ever listed, and those that are active and not taken out: all, and by kind.
     pub(crate) workers: Vec<Worker>,
     pub(crate) index: FxHashMap<WorkerId, usize>,
-    pub(crate) live: Vec<usize>,
+    pub(crate) live: Pool,
     /// Workers that operators have taken out. Apart from the list: nothing that it tells lifts a ban.
     pub(crate) banned: FxHashSet<WorkerId>,
     /// The active ones of the own zone.
-    pub(crate) near: Vec<usize>,
-    pub(crate) live_by_kind: FxHashMap<u32, Vec<usize>>,
+    pub(crate) near: Pool,
+    pub(crate) live_by_kind: FxHashMap<u32, Pool>,
+    /// When the pools' chances were last counted, and what the active ones' sizes come to.
+    pub(crate) weighed_at: Micros,
+    pub(crate) size: f64,
+    /// Running time by machine kind against a class's mean, and of how many jobs that was learned.
+    pub(crate) kinds: FxHashMap<u32, (f64, f64)>,
     /// The active workers in the order of a mixture of their ids: a key's workers follow its own.
     pub(crate) ring: Vec<(u64, usize)>,
     /// The active workers, each counted for the share of its capacity that it surely has.
@@ -75,7 +82,6 @@
     pub(crate) wake_at: Micros,
     pub(crate) ask_at: Micros,
     pub(crate) ask_failures: u32,
-    pub(crate) probes_out: u32,
 }
 
 impl Dispatcher {
--- a/crates/core/src/state/rates.rs
+++ b/crates/core/src/state/rates.rs
@@ -67,9 +67,9 @@
         *self = Rate { last: counted / seen.max(LEAST_SEEN), counted, seen, at: now };
     }
 
-    fn now(&self, now: Micros, span: f64) -> f64 {
+    fn now(&self, now: Micros, span: f64, least_seen: f64) -> f64 {
         let (counted, seen) = self.faded(now, span);
-        counted / seen.max(LEAST_SEEN)
+        counted / seen.max(least_seen)
     }
 }
 
@@ -98,18 +98,19 @@
         self.done.count(self.now, work, span);
         // Recounted as they warm; by the warmth of its time, as a fleet half replaced does not do more by the rest.
         if self.warmth < self.live.len() as f64 {
-            self.warmth = self.live.iter().map(|&w| self.warm_share(w)).sum();
+            self.warmth = self.live.workers.iter().map(|&w| self.warm_share(w)).sum();
         }
         self.by_warm.count(self.now, reckoned / self.warmth.max(1.0), span);
     }
 
     /// Slots that were at work for this dispatcher lately at a warm worker.
     pub(crate) fn usual(&self) -> f64 {
-        self.by_warm.now(self.now, COMING_SPAN * self.mean_run)
+        self.by_warm.now(self.now, COMING_SPAN * self.mean_run, LEAST_SEEN)
     }
 
-    /// Slots that were at work for this dispatcher lately.
+    /// Slots that were at work for this dispatcher lately. Of a fresh one a mean running time stands for the span
+    /// at the least: the cap, which rests on it, would come down to a part of what is at work.
     pub(crate) fn at_work(&self) -> f64 {
-        self.done.now(self.now, COMING_SPAN * self.mean_run)
+        self.done.now(self.now, COMING_SPAN * self.mean_run, 1.0 / COMING_SPAN)
     }
 }
--- a/crates/core/src/state/request.rs
+++ b/crates/core/src/state/request.rs
@@ -52,6 +52,8 @@
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
     pub open: u32,
+    /// Who was asked for its load before it is sent there, and when.
+    pub asked: Option<(usize, Micros)>,
     pub queued: bool,
     pub done: bool,
 }
--- a/crates/core/src/state/settings.rs
+++ b/crates/core/src/state/settings.rs
@@ -52,7 +52,6 @@
             (!self.tenants.iter().all(|&q| sound(q)), "tenants", "shares must be 0 or more"),
             (!(0.0..=1.0).contains(&self.cold_share), "cold_share", "must be 0 to 1"),
             (!times(self.fall_multiple), "fall_multiple", "must be 0 to a million"),
-            (!sound(self.handshake_price), "handshake_price", "must be 0 or more"),
             (!sound(self.cross_price), "cross_price", "must be 0 or more"),
         ];
         match complaints.into_iter().find(|c| c.0) {
--- a/crates/core/src/state/worker.rs
+++ b/crates/core/src/state/worker.rs
@@ -13,14 +13,14 @@
     pub zone: u32,
     pub kind: u32,
     pub cell: u32,
+    /// As the list has it, over 0.
+    pub weight: f64,
     /// In the list, whatever its state; its process runs and wants jobs.
     pub listed: bool,
     pub active: bool,
     pub online_since: Micros,
-    /// Own outstanding slots, and the same smoothed over the age of a report.
+    /// Own outstanding slots.
     pub out: f64,
-    pub lagged_out: f64,
-    pub lagged_at: Micros,
     /// Of these, slots that are not counted against the cap, as the worker is silent.
     pub aside: f64,
     /// Own attempts without an outcome: all, and how many count; those not known to have started.
@@ -37,9 +37,6 @@
     pub heard: Option<Micros>,
     /// Rounds expected free slots up or down; drawn anew with each piece of news.
     pub dither: f64,
-    /// Running time against the class's mean.
-    pub pace: f64,
-    pub paced_at: Micros,
     /// How long own jobs waited there to start, lately, and since when that is known.
     pub wait: f64,
     pub waited_at: Micros,
@@ -51,11 +48,11 @@
     pub watched: bool,
     pub trials: u32,
     pub shun_until: Micros,
+    /// When it last answered a probe.
+    pub probed_at: Micros,
     /// Cold budget in slot-microseconds.
     pub budget: f64,
     pub budget_at: Micros,
-    /// Until when an idle connection is held.
-    pub idle_until: Micros,
 }
 
 impl Dispatcher {
@@ -86,10 +83,7 @@
 
     /// Own outstanding slots there change by `by`; known free slots go the other way.
     pub(super) fn occupy(&mut self, w: usize, by: f64) {
-        let keep = (-self.since(self.workers[w].lagged_at) / self.report_lag().max(1.0)).exp();
         let worker = &mut self.workers[w];
-        worker.lagged_out += (worker.out - worker.lagged_out) * (1.0 - keep);
-        worker.lagged_at = self.now;
         worker.out = (worker.out + by).max(0.0);
         worker.free -= by;
         let ended = worker.aside.min((-by).max(0.0));
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -33,6 +33,7 @@
         zone: 0,
         kind: 0,
         cell: worker / 3,
+        weight: 1.0,
         condition: Condition::Active,
         online_since: 0,
     }
--- a/crates/core/tests/mechanism/main.rs
+++ b/crates/core/tests/mechanism/main.rs
@@ -2,6 +2,8 @@
 //!
 //! It owns the folder's one binary and what its parts share. It must never hold a test itself.
 
+mod blow;
+mod blow_fleet;
 mod cap;
 mod cold;
 mod cold_fleet;
@@ -15,6 +17,7 @@
 mod probes;
 mod silence;
 mod tiers;
+mod weights;
 
 use common::*;
 use oakshed_core::interface::*;
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -137,6 +137,7 @@
             zone: 0,
             kind: 0,
             cell: 0,
+            weight: 1.0,
             condition,
             online_since: self.started[backend],
         }
--- a/crates/jobs/tests/world/faults.rs
+++ b/crates/jobs/tests/world/faults.rs
@@ -42,6 +42,7 @@
                 zone: 0,
                 kind: 0,
                 cell: 0,
+                weight: 1.0,
                 condition: Condition::Active,
                 online_since: 0,
             };
--- a/crates/jobs/tests/world/scheduler.rs
+++ b/crates/jobs/tests/world/scheduler.rs
@@ -142,6 +142,7 @@
                     zone: 0,
                     kind: 0,
                     cell: 0,
+                    weight: 1.0,
                     condition: w.listed,
                     online_since: 0,
                 };
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -3,6 +3,9 @@
 //! It owns that form and the meaning of its words. It must never let a malformed list in, nor read a
 //! word that it does not know as leave to send.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -39,6 +42,8 @@
     machine_type: String,
     #[serde(default)]
     cell: u32,
+    #[serde(default, deserialize_with = "oakshed_wire::lenient")]
+    weight: Option<f64>,
     lifecycle: String,
     #[serde(default)]
     started_at_ms: f64,
@@ -92,6 +97,7 @@
             zone: place(&names.zones, &self.zone),
             kind: place(&names.kinds, &self.machine_type),
             cell: self.cell,
+            weight: self.weight.unwrap_or(1.0),
             condition: match self.lifecycle.as_str() {
                 "ready" => Condition::Active,
                 GONE => Condition::Left,
--- a/crates/server/src/net/backends/tests.rs
+++ b/crates/server/src/net/backends/tests.rs
@@ -75,7 +75,7 @@
         assert!(!link.sender.is_closed());
         let net = net();
         let (backend, condition) = ("s-1".into(), Condition::Active);
-        let entry = Entry { backend, zone: 0, kind: 0, cell: 0, condition, online_since: 0 };
+        let entry = Entry { backend, zone: 0, kind: 0, cell: 0, weight: 1.0, condition, online_since: 0 };
         net.backends.update(true, std::iter::once((&entry, address)));
         net.backends.put_back(&net, "s-1", link);
         assert!(net.backends.take_idle(&net, "s-1").is_none(), "it is used again");
--- a/crates/server/src/net/discovery/tests.rs
+++ b/crates/server/src/net/discovery/tests.rs
@@ -181,7 +181,7 @@
 
     fn take_in(&self, kind: ListKind) {
         let (backend, condition) = ("s-1".into(), Condition::Active);
-        let entry = Entry { backend, zone: 0, kind: 0, cell: 0, condition, online_since: 0 };
+        let entry = Entry { backend, zone: 0, kind: 0, cell: 0, weight: 1.0, condition, online_since: 0 };
         self.facade.borrow_mut().report(self.now(), Seen::List(kind, &[entry]));
     }
 
--- a/crates/wire/src/host.rs
+++ b/crates/wire/src/host.rs
@@ -80,12 +80,14 @@
     block: u32,
     #[serde(borrow)]
     condition: &'a str,
+    #[serde(default, rename = "power-hint", deserialize_with = "lenient")]
+    weight: Option<f64>,
     #[serde(default, rename = "online-since-ms")]
     online_since: f64,
 }
 
 /// What a request may come without is taken as absent where it is no such value.
-fn lenient<'de, D: Deserializer<'de>, T: Deserialize<'de>>(from: D) -> Result<Option<T>, D::Error> {
+pub fn lenient<'de, D: Deserializer<'de>, T: Deserialize<'de>>(from: D) -> Result<Option<T>, D::Error> {
     #[derive(Deserialize)]
     #[serde(untagged)]
     enum Lenient<T> {
@@ -186,6 +188,7 @@
                 zone: row.hall,
                 kind: row.model,
                 cell: row.block,
+                weight: row.weight.unwrap_or(1.0),
                 condition,
                 online_since: micros(row.online_since),
             });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,5 +16,5 @@
 pub mod host;
 pub mod settings;
 
-pub use host::{parse_request_id, serve};
+pub use host::{lenient, parse_request_id, serve};
 pub use settings::{micros, settings, settings_and_names, Names};
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -32,6 +32,8 @@
     resolution_ms: f64,
     #[serde(default)]
     tenants: Vec<Tenant>,
+    #[serde(default)]
+    weight_kind: String,
 }
 
 #[derive(Deserialize)]
@@ -109,7 +111,6 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "kebab-case", default)]
 struct Prices {
-    handshake: f64,
     cross_zone: f64,
 }
 
@@ -221,6 +222,13 @@
     };
     let modes = [("", false), ("pushed", false), ("on_request", true)];
     let orders = [("", false), ("fifo", true), ("backfill", false), ("priority", false)];
+    let weights = [
+        ("", Weights::None),
+        ("none", Weights::None),
+        ("nominal", Weights::Size),
+        ("rough", Weights::Size),
+        ("live", Weights::Live),
+    ];
     let hows = [
         ("", Reports::None),
         ("none", Reports::None),
@@ -234,6 +242,7 @@
         tenants: boot.tenants.iter().map(|t| t.quota_rps).collect(),
         list_on_request: word("membership-mode", &boot.membership_mode, &modes)?,
         ask_every: span("obligations.ask-every-ms", boot.obligations.ask_every_ms)?,
+        weights: word("weight-kind", &boot.weight_kind, &weights)?,
         tells_start: family.tells_start,
         in_order: word("family-info.queue-order", &family.queue_order, &orders)?,
         progress_every: span("family-info.progress-ms", family.progress_ms)?,
@@ -245,7 +254,6 @@
         max_attempts: boot.limits.max_attempts,
         idle_close: span("limits.idle-close-ms", boot.limits.idle_close_ms)?,
         connect_timeout: span("limits.connect-timeout-ms", boot.limits.connect_timeout_ms)?,
-        handshake_price: boot.prices.handshake,
         cross_price: boot.prices.cross_zone,
         tick: span("resolution-ms", boot.resolution_ms)?,
         cold_share: boot.obligations.cold_share,
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -130,6 +130,7 @@
             "figures",
         ),
         (r#""balancers":1"#, r#""balancers":0"#, "dispatchers"),
+        (r#""balancers":1"#, r#""balancers":1,"weight-kind":"guessed""#, "weight-kind"),
         (r#""balancers":1"#, r#""balancers":1,"membership-mode":"on-request""#, "membership-mode"),
         (r#""balancers":1"#, r#""balancers":1,"membership-mode":"on_request""#, "ask_every"),
         (r#""balancers":1"#, r#""balancers":1,"load-info":{"how":"probes"}"#, "load-info.how"),
