A remembered list is confirmed before anything is sent by it, asked for as well as pushed

Where lists are asked for, `remember` let the list in at once, and the first call is spread over a quarter.

Ruled out: that discovery was late (five starts read had their answer 0.4 to 1.1 s after they began); the whole list as the first call, as that and the watch after it are two turns of discovery where a watch from the number held is one.

Change: what is remembered is entered as leaving, until an answer confirms it; changes are joined to it and taken in as one list. A connection that does not come up lets it in at once, other failures and silences by the second in a row (by the first where the list is pushed, as before). A list that a living process hands over is believed as before. Changes with a lower number than asked from are not taken in: the whole is asked for. An answer to a call for the whole list is one. In decide.rs one condition: the spread of calls is that of who has a list where any worker is listed, active or not.

The two tests of the pushed form are replaced by ones of both forms, as strict and more; the stop after one failure is held where it was, a busy discovery that is asked for must have been called twice.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -668,7 +668,7 @@
     /// one that comes while too many wait fails, but takes its turn all the same. Watches cost it nothing.
     pub(crate) fn ask_spread(&self) -> f64 {
         let s = &self.settings;
-        let most = if self.live.is_empty() { LONGEST_START } else { s.ask_quarter() };
+        let most = if self.members().listed == 0 { LONGEST_START } else { s.ask_quarter() };
         (u64::from(s.dispatchers.saturating_sub(FEW)) * ASK_SPACING).min(most) as f64
     }
 
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -76,9 +76,13 @@
 
     /// The whole list, in discovery's form; nothing where none was ever told.
     pub fn whole(&self) -> Option<Answer> {
-        let instances: Vec<Instance> = self.instances.values().cloned().collect();
-        let (generation, reset) = (self.generation, true);
-        (!instances.is_empty()).then_some(Answer { generation, reset, instances })
+        (!self.instances.is_empty()).then(|| self.list())
+    }
+
+    /// The list as it stands, be it empty, in discovery's form.
+    pub fn list(&self) -> Answer {
+        let instances = self.instances.values().cloned().collect();
+        Answer { generation: self.generation, reset: true, instances }
     }
 }
 
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -22,8 +22,8 @@
 
 use super::backends::Link;
 use super::{durable, peers, Net};
-use crate::list::Answer;
-use oakshed_core::facade::{Entry, ListKind, Micros, Seen};
+use crate::list::{Answer, Held};
+use oakshed_core::facade::{Condition, Entry, ListKind, Micros, Seen};
 use watch::Watch;
 
 const PATH: &str = "/v1/endpoints";
@@ -32,13 +32,21 @@
 /// The largest list that is read.
 const LARGEST_LIST: usize = 1 << 20;
 
-/// Takes in the list as it was last held, before anything else is known. Not where the list is pushed: what the
-/// agent has counts as told from the first moment, so that nothing is sent by an older one unless the agent is
-/// silent or fails.
-pub(crate) fn remember(net: &Rc<Net>) {
-    if net.config.settings.list_on_request {
-        recall(net);
+/// Takes in the list as it was last held, before anything else is known: as one by which nothing may be sent.
+/// What left while nobody ran here counts as told, so that it has to be confirmed first; only one that a living
+/// process has handed over, and which it asked for, is as good as its own.
+pub(crate) fn remember(net: &Rc<Net>, handed: bool) {
+    if handed && net.config.settings.list_on_request {
+        return recall(net);
     }
+    let Some(known) = &net.config.known else { return };
+    let mut entries: Vec<Entry> = known.instances.iter().map(|i| i.entry(&net.config.names)).collect();
+    entries.iter_mut().for_each(|e| e.condition = Condition::Leaving);
+    net.backends.update(true, entries.iter().zip(known.instances.iter().map(|i| i.host_port)));
+    net.report(Seen::List(ListKind::Remembered, &entries));
+    durable::list(net, &entries, ListKind::Remembered);
+    let number = known.generation;
+    info!(number, "list {number}: {} entries remembered, to be confirmed", entries.len());
 }
 
 fn recall(net: &Rc<Net>) {
@@ -64,18 +72,19 @@
 }
 
 /// Watches the list, always at discovery's present address.
-pub(crate) async fn run(net: Rc<Net>) {
+pub(crate) async fn run(net: Rc<Net>, handed: bool) {
     let settings = &net.config.settings;
     // Where the settings say that the list is pushed, the module never asks for the first one, and the whole is
     // asked for.
     let pushed = !settings.list_on_request;
     let mut generation = net.config.known.as_ref().filter(|_| !pushed).map(|known| known.generation);
-    let (mut at_once, unheard) = (pushed, Cell::new(pushed));
+    let (mut at_once, unheard) = (pushed, Cell::new(troubles(pushed, handed)));
     let mut address = net.discovery.subscribe();
     loop {
         let at = *address.borrow_and_update();
-        let (seed, failing) = (net.config.seed ^ net.clock.now(), Cell::new(false));
-        let discovery = At { net: &net, at, unheard: &unheard, failing };
+        let seed = net.config.seed ^ net.clock.now();
+        let (failing, unreachable) = (Cell::new(false), Cell::new(false));
+        let discovery = At { net: &net, at, unheard: &unheard, unreachable, failing };
         // Wherever the watch stands when discovery moves (in a call, or waiting for the next),
         // it ends: the old one may close any moment, and what it tells is old.
         tokio::select! {
@@ -87,12 +96,24 @@
     }
 }
 
+/// How many troubles in a row let a remembered list in. An agent beside the program has no queue: one. A service for
+/// all may only be busy, and what it had to tell would count: two, or one connection that never came up.
+fn troubles(pushed: bool, handed: bool) -> u32 {
+    match (pushed, handed) {
+        (true, _) => 1,
+        (false, false) => 2,
+        (false, true) => 0,
+    }
+}
+
 /// Discovery at one address.
 struct At<'a> {
     net: &'a Rc<Net>,
     at: SocketAddr,
-    /// The list is pushed, and nothing was heard yet.
-    unheard: &'a Cell<bool>,
+    /// How many more troubles let the remembered list in; 0 once anything is believed.
+    unheard: &'a Cell<u32>,
+    /// The last connection did not come up.
+    unreachable: Cell<bool>,
     /// The last call has failed.
     failing: Cell<bool>,
 }
@@ -110,11 +131,13 @@
         let mut link = match link.filter(|link| !link.is_dead()) {
             Some(link) => link,
             None => {
+                self.unreachable.set(true);
                 let dialled = timeout(DIAL, Link::dial(self.at)).await;
                 let dialled = dialled.map_err(|_| "cannot connect: no answer in time".to_owned())?;
                 dialled.map_err(|e| format!("cannot connect: {e}"))?
             }
         };
+        self.unreachable.set(false);
         // Until its answer has been taken in, which is in the same turn: what comes meanwhile counts as told.
         let _news = self.net.backends.listen(&link);
         let path = match from {
@@ -130,10 +153,11 @@
         }
         let body = Limited::new(response.into_body(), LARGEST_LIST).collect().await;
         let body = body.map_err(|e| format!("broken answer: {e}"))?;
-        let answer = Answer::parse(&body.to_bytes()).map_err(|e| {
+        let mut answer = Answer::parse(&body.to_bytes()).map_err(|e| {
             self.net.count(|c| &mut c.malformed_lists);
             format!("malformed list: {e}")
         })?;
+        answer.reset |= from.is_none();
         Ok((answer, link))
     }
 
@@ -150,18 +174,24 @@
     }
 
     fn told(&self, answer: &Answer) {
-        self.unheard.set(false);
         self.failing.set(false);
+        if self.unheard.replace(0) > 0 && !answer.reset {
+            // Changes confirm the rest of what is remembered. In one step: between two, something would be sent.
+            let mut held = Held::default();
+            self.net.config.known.iter().for_each(|known| held.update(known, true));
+            held.update(answer, false);
+            return apply(self.net, &held.list(), ListKind::All);
+        }
         apply(self.net, answer, if answer.reset { ListKind::All } else { ListKind::Changes });
     }
 
     fn silent(&self) {
         self.net.count(|c| &mut c.silent_watches);
-        self.unheard.take().then(|| recall(self.net));
+        self.trouble(false);
     }
 
     fn failed(&self, why: &str) {
-        self.unheard.take().then(|| recall(self.net));
+        self.trouble(self.unreachable.get());
         self.net.count(|c| &mut c.discovery_failures);
         // Once for all in a row: discovery that is down is called many times a second where the list is
         // pushed.
@@ -171,3 +201,15 @@
         self.net.report(Seen::List(ListKind::Refused, &[]));
     }
 }
+
+impl At<'_> {
+    /// One more trouble, which may be enough to let the remembered list in.
+    fn trouble(&self, enough: bool) {
+        let before = self.unheard.get();
+        let left = if enough { 0 } else { before.saturating_sub(1) };
+        self.unheard.set(left);
+        if before > 0 && left == 0 {
+            recall(self.net);
+        }
+    }
+}
--- a/crates/server/src/net/discovery/tests.rs
+++ b/crates/server/src/net/discovery/tests.rs
@@ -180,7 +180,9 @@
     }
 
     fn take_in(&self, kind: ListKind) {
-        let (backend, condition) = ("s-1".into(), Condition::Active);
+        // What is remembered is to be confirmed.
+        let old = kind == ListKind::Remembered;
+        let (backend, condition) = ("s-1".into(), if old { Condition::Leaving } else { Condition::Active });
         let entry = Entry { backend, zone: 0, kind: 0, cell: 0, condition, online_since: 0 };
         self.facade.borrow_mut().report(self.now(), Seen::List(kind, &[entry]));
     }
@@ -361,3 +363,18 @@
         });
     }
 }
+
+/// Hundreds that start at one moment with a list to be confirmed: they call within a quarter, as who has a list,
+/// and not over the time of those who have none.
+#[test]
+fn hundreds_have_a_remembered_list_confirmed_within_a_quarter_and_their_turns() {
+    in_virtual_time(async {
+        let fleet = Fleet::new(300, 10_000 * MS, 5 * MS);
+        fleet.start(true);
+        // Their calls begin within 1.5 s, their turns take as long together, and a new watch holds 0.1 s.
+        sleep(3_200 * MS).await;
+        let confirmed = fleet.nodes.borrow().iter().filter(|n| !n.heard.is_empty()).count();
+        let failed = fleet.nodes.borrow().iter().filter(|n| n.standing == Standing::Failed).count();
+        assert_eq!((confirmed, failed), (300, 0), "confirmed and failed after 3.2 s");
+    });
+}
--- a/crates/server/src/net/discovery/watch.rs
+++ b/crates/server/src/net/discovery/watch.rs
@@ -86,6 +86,12 @@
                     Err(failure) => break failure,
                 };
                 fresh = false;
+                // Guards against changes to a list that was numbered otherwise: discovery has begun anew.
+                if !answer.reset && generation.is_some_and(|from| answer.generation < from) {
+                    *generation = None;
+                    sleep(PAUSE).await;
+                    continue;
+                }
                 let whole = generation.replace(answer.generation).is_none();
                 self.discovery.told(&answer);
                 // Guards against discovery that does not hold: calls would chase each other.
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -231,13 +231,14 @@
     let (durable, told) = durable::open(&config, clock.now())?;
     let peers = peers::open(&config, clock.now())?;
     let folder = handover::Folder::open(config.tmp.as_deref(), config.listen).map(Rc::new);
-    let (listener, before) = match folder.as_ref().and_then(|f| handover::take_over(f, &config)) {
+    let (listener, before, handed) = match folder.as_ref().and_then(|f| handover::take_over(f, &config)) {
         Some(taken) => {
+            let handed = taken.list.is_some();
             config.known = taken.list.or(config.known);
             facade.learn(clock.now(), taken.learned);
-            (TcpListener::from_std(taken.listener)?, Some(taken.link))
+            (TcpListener::from_std(taken.listener)?, Some(taken.link), handed)
         }
-        None => (front::listen(config.listen, folder.is_some())?, None),
+        None => (front::listen(config.listen, folder.is_some())?, None, false),
     };
     durable::advice(&config).into_iter().for_each(|advice| info!("store: {advice}"));
     let mut net = Net::new(config, clock, facade, durable);
@@ -249,13 +250,13 @@
     if let Some(folder) = &folder {
         bans::start(&net, folder);
     }
-    discovery::remember(&net);
+    discovery::remember(&net, handed);
     if net.peers.is_some() {
         tokio::task::spawn_local(peers::run(net.clone()));
     }
     net.ready.set(true);
     tokio::task::spawn_local(run_timer(net.clone()));
-    tokio::task::spawn_local(discovery::run(net.clone()));
+    tokio::task::spawn_local(discovery::run(net.clone(), handed));
     tokio::task::spawn_local(backends::sweep(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
     tokio::task::spawn_local(reload_when_told(net.clone(), hangup));
--- a/crates/server/tests/sockets/told.rs
+++ b/crates/server/tests/sockets/told.rs
@@ -75,53 +75,111 @@
 const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
 const PUSHED: (&str, &str) = (r#""membership-mode":"on_request""#, r#""membership-mode":"pushed""#);
 
-/// Where the list is pushed, what the agent has counts as told from the first moment. Guards against sending by the
-/// list of a start while the agent's answer, which is held back here, is under way.
+/// What left while nobody ran here counts as told, whether lists are pushed or asked for. Guards against sending by
+/// the list of a start while the answer, which is held back here, is under way.
 #[test]
-fn a_start_with_an_old_list_where_it_is_pushed_waits_for_the_agent() {
+fn a_start_with_an_old_list_waits_for_an_answer() {
+    // Asked for, the answer may be the changes since the old list, the whole one, an indented one, or one of
+    // discovery that has begun anew, which numbers its lists lower.
+    let changes = |list: String| list.replace(r#""reset":true"#, r#""reset":false"#);
+    let indented = |list: String| list.replace(',', ",\n    ").replace('{', "{\n  ");
+    started_with_an_old_list(true, &|list| list);
+    started_with_an_old_list(false, &|list| list);
+    started_with_an_old_list(false, &changes);
+    started_with_an_old_list(false, &|list| changes(list).replace(r#""generation":2"#, r#""generation":0"#));
+    started_with_an_old_list(false, &indented);
+}
+
+fn started_with_an_old_list(pushed: bool, worded: &dyn Fn(String) -> String) {
     let (before, after) = (good(), good());
     let known = Discovery::new(&[("s-1", before.address)]);
     let present = Discovery::new(&[("s-1", before.address), ("s-2", after.address)]);
     present.set("s-1", "draining");
     let (open, gate) = channel::<()>();
-    let (gate, list) = (Mutex::new(gate), present.known());
-    let agent = Peer::new(move |_, stream| {
+    let (gate, whole) = (Mutex::new(gate), present.known());
+    let first = worded(whole.clone());
+    let discovery = Peer::new(move |message, stream| {
         _ = gate.lock().unwrap().recv();
+        let list = if message.first.contains("from=") { &first } else { &whole };
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
-        stream.write_all((head + &list).as_bytes()).is_ok()
+        stream.write_all((head + list).as_bytes()).is_ok()
     });
-    let path = config(agent.address, &known.known(), 1024);
-    edit(&path, PUSHED);
+    let path = config(discovery.address, &known.known(), 1024);
+    if pushed {
+        edit(&path, PUSHED);
+    }
     let (mut child, listen, _log, _) = serve(&path, &[]);
-    until("the call", || agent.count() >= 1);
+    until("the call", || discovery.count() >= 1);
     let ready = ask(listen, READY).map(|m| m.status());
     assert_eq!((ready, before.count()), (Some(503), 0), "ready by what was known at the start");
-    open.send(()).expect("released");
+    // One that comes all the same is held, not refused.
+    let early = std::thread::spawn(move || ask(listen, &request("transfer", "id-0")).map(|m| m.status()));
+    _ = (open.send(()), open.send(()));
     until("ready", || ask(listen, READY).is_some_and(|m| m.status() == 200));
+    assert_eq!(early.join().expect("asked"), Some(200));
     assert_eq!(ask(listen, &request("transfer", "id-1")).map(|m| m.status()), Some(200));
-    assert_eq!((before.count(), after.count()), (0, 1));
+    assert_eq!((before.count(), after.count()), (0, 2));
     _ = child.kill();
     _ = child.wait();
     _ = std::fs::remove_file(path);
 }
 
-/// Guards against a start that never serves where the agent is down, or silent: what was known is the best then.
+/// Guards against a start that never serves where discovery is down, or silent: what was known is the best then.
 #[test]
-fn a_start_with_an_old_list_where_the_agent_does_not_answer_serves_by_it() {
+fn a_start_with_an_old_list_where_no_answer_comes_serves_by_it() {
     let backend = good();
     let discovery = Discovery::new(&[("s-1", backend.address)]);
     let closed = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
     let silent = Peer::new(|_, _| true);
-    for agent in [closed, silent.address] {
-        let path = config(agent, &discovery.known(), 1024);
-        edit(&path, PUSHED);
-        let (mut child, listen, _log, _) = serve(&path, &[]);
-        until("ready", || ask(listen, READY).is_some_and(|m| m.status() == 200));
-        assert_eq!(ask(listen, &request("transfer", "id-1")).map(|m| m.status()), Some(200));
-        _ = child.kill();
-        _ = child.wait();
-        _ = std::fs::remove_file(path);
-    }
+    let busy = Peer::new(|_, stream| stream.write_all(BUSY.as_bytes()).is_ok());
+    let all = [
+        (closed, true),
+        (silent.address, true),
+        (closed, false),
+        (silent.address, false),
+        (busy.address, false),
+    ];
+    std::thread::scope(|s| {
+        for (at, pushed) in all {
+            let discovery = &discovery;
+            s.spawn(move || {
+                let path = config(at, &discovery.known(), 1024);
+                if pushed {
+                    edit(&path, PUSHED);
+                }
+                let (mut child, listen, _log, _) = serve(&path, &[]);
+                until("ready", || ask(listen, READY).is_some_and(|m| m.status() == 200));
+                assert_eq!(ask(listen, &request("transfer", "id-1")).map(|m| m.status()), Some(200));
+                _ = child.kill();
+                _ = child.wait();
+                _ = std::fs::remove_file(path);
+            });
+        }
+    });
+    // By one call that failed it was not believed: busy discovery may have news that counts as told.
+    assert!(busy.count() >= 2, "believed after {} calls", busy.count());
+}
+
+/// Guards against belief in a list of before because of an answer that never came: told of another discovery while
+/// the first call waits, it asks that one, and what is remembered is not let in by the move.
+#[test]
+fn a_start_that_is_moved_before_the_first_answer_waits_for_the_new_discovery() {
+    let (before, after) = (good(), good());
+    let known = Discovery::new(&[("s-1", before.address)]);
+    let present = Discovery::new(&[("s-2", after.address)]);
+    let silent = Peer::new(|_, _| true);
+    let path = config(silent.address, &known.known(), 1024);
+    let (mut child, listen, _log, _) = serve(&path, &[]);
+    until("the call", || silent.count() >= 1);
+    edit(&path, (&silent.address.to_string(), &present.peer.address.to_string()));
+    let pid = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-HUP", &pid]).status().expect("kill runs").success());
+    until("ready", || ask(listen, READY).is_some_and(|m| m.status() == 200));
+    assert_eq!(ask(listen, &request("transfer", "id-1")).map(|m| m.status()), Some(200));
+    assert_eq!((before.count(), after.count()), (0, 1));
+    _ = child.kill();
+    _ = child.wait();
+    _ = std::fs::remove_file(path);
 }
 
 fn edit(path: &std::path::Path, (from, to): (&str, &str)) {
