Cut two circles: reader and front, facts and message

Each pair of modules used the other: reader.rs took one constant, MOST_THROWN_AWAY, from front/parting.rs, which front/ hands to it with the reader itself, and facts.rs took the forms in which a list is passed on from message.rs, which takes Worker from facts.rs. The constant now belongs to the reader, which owns what clients send, and ListNumber and ListPart to facts, whose values they are. Ruled out: a third module for either, which would own one line. No behaviour changes: no byte on the wire is another.

--- a/crates/peers/src/exchange.rs
+++ b/crates/peers/src/exchange.rs
@@ -5,7 +5,8 @@
 //! first, the owner of whom most is missing first). It must never send a row after a gap as if
 //! there were none, nor more than the room that it is given.
 
-use crate::message::{Delta, Digest, ListNumber, PackedRow, Who};
+use crate::facts::ListNumber;
+use crate::message::{Delta, Digest, PackedRow, Who};
 use crate::rows::{Key, Owner, Row, Rows};
 
 /// The most owners in one digest: at 5 bytes each, half a datagram.
--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -10,7 +10,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::{ListNumber, ListPart};
 use crate::Micros;
 
 /// The longest id of a worker or name of discovery, in bytes.
@@ -42,6 +41,34 @@
     pub start: u64,
 }
 
+/// A list by its discovery (24 bits of a hash of its name) and number; number 0: none is held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNumber {
+    /// Whose numbers these are. Numbers of different discoveries are never compared.
+    pub discovery: u32,
+    /// Discovery's number.
+    pub number: u64,
+}
+
+/// Changes of discovery's list, or all of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListPart {
+    /// Whose list, by name: hashes may meet.
+    pub discovery: String,
+    /// The changes are those since this number; 0: all workers.
+    pub base: u64,
+    /// The list's number.
+    pub number: u64,
+    /// How long ago discovery told it, in milliseconds.
+    pub age: u64,
+    /// Which part of how many.
+    pub part: u8,
+    /// See `part`.
+    pub of: u8,
+    /// The workers.
+    pub workers: Vec<Worker>,
+}
+
 /// What was learned from peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -4,19 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::facts::Worker;
+use crate::facts::{ListNumber, ListPart};
 use crate::membership::Met;
 use crate::rows::Owner;
 
-/// A list by its discovery (24 bits of a hash of its name) and number; number 0: none is held.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListNumber {
-    /// Whose numbers these are. Numbers of different discoveries are never compared.
-    pub discovery: u32,
-    /// Discovery's number.
-    pub number: u64,
-}
-
 /// What a member knows of the owners whose hash lies in a range.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -73,25 +64,6 @@
     pub rows: Vec<PackedRow>,
 }
 
-/// Changes of discovery's list, or all of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListPart {
-    /// Whose list, by name: hashes may meet.
-    pub discovery: String,
-    /// The changes are those since this number; 0: all workers.
-    pub base: u64,
-    /// The list's number.
-    pub number: u64,
-    /// How long ago discovery told it, in milliseconds.
-    pub age: u64,
-    /// Which part of how many.
-    pub part: u8,
-    /// See `part`.
-    pub of: u8,
-    /// The workers.
-    pub workers: Vec<Worker>,
-}
-
 /// A datagram's body.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -25,7 +25,7 @@
 use super::Net;
 use clients::{sweep, Client, Clients};
 use conversation::{converse, last_words};
-pub(crate) use parting::{part, MOST_THROWN_AWAY};
+pub(crate) use parting::part;
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1_024;
--- a/crates/server/src/net/front/parting.rs
+++ b/crates/server/src/net/front/parting.rs
@@ -10,11 +10,10 @@
 use tokio::time::Instant;
 
 use super::super::end_sending;
+use super::super::reader::MOST_THROWN_AWAY;
 
 /// For how long a client is still read from once nothing more is sent to it.
 const LINGER: Duration = Duration::from_millis(200);
-/// The most bytes that are read and thrown away: who sends more has its connection closed over the rest.
-pub(crate) const MOST_THROWN_AWAY: usize = 256 << 10;
 
 /// Says what is still to be said, ends sending, reads on until the client ends too, and lets the connection go then;
 /// `by` at the latest. What is read is thrown away: the client sees the end without an answer, and sends it anew
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -23,14 +23,15 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::front::MOST_THROWN_AWAY;
-
 /// The longest head.
 pub(super) const LONGEST_HEAD: usize = 8 << 10;
 /// The most that is held of a connection: some heads, for clients that send requests ahead.
 const MOST_HELD: usize = 4 * LONGEST_HEAD;
 /// The most header fields; hyper takes as many.
 const MOST_FIELDS: usize = 100;
+/// The most bytes that are read and thrown away, here and once a connection ends: who sends more has it closed
+/// over the rest.
+pub(super) const MOST_THROWN_AWAY: usize = 256 << 10;
 /// How much is read at once.
 const CHUNK: usize = 2 << 10;
 /// How long a request may take to arrive from when it began; the first begins with the connection.
