Quarantine and prewarm: no cap below a thousand, and no square in their work

Cause: a hall was one byte in rows and the 257th was counted for the 256th (with 600 halls nobody told anything), tries beyond 7,936 cells of a half window were left out (32 classes on 1,024 workers are 32,768), and the work grew with products: every cell looked through all workers, every path through all paths, each kind of prewarm through all workers and members at each change. Now halls and chunks are varints, a hall without a number is refused and counted instead of counting for another, sums are made once, workers stand by hall, and who comes or goes changes only what it can. Ruled out: larger fixed bounds.

--- a/crates/prewarm/src/hold.rs
+++ b/crates/prewarm/src/hold.rs
@@ -41,6 +41,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Holds {
     pub workers: Vec<Worker>,
+    /// The places of those that may be asked, by hall: no look through all workers for each kind.
+    by_hall: BTreeMap<Arc<str>, Vec<usize>>,
+    /// The most that may be held at once.
+    most: usize,
     share: f64,
     /// By the worker's place, then the kind's number.
     held: BTreeMap<(usize, usize), Held>,
@@ -62,21 +66,27 @@
         let place: BTreeMap<&str, usize> = fit.map(|(i, w)| (&*w.name, i)).collect();
         let moved = |((w, k), held): ((usize, usize), Held)| Some(((*place.get(&*old[w].name)?, k), held));
         self.held = std::mem::take(&mut self.held).into_iter().filter_map(moved).collect();
+        self.by_hall.clear();
+        let (mut capacity, asked) = (0, self.workers.iter().enumerate().filter(|(_, w)| w.may_hold()));
+        for (at, worker) in asked {
+            capacity += u64::from(worker.holds);
+            self.by_hall.entry(worker.hall.clone()).or_default().push(at);
+        }
+        self.most = (capacity as f64 * self.share) as usize;
         // A call not fetched yet must not go to one that may not be asked any more.
         self.effects.retain(|Effect::Prepare { worker, .. }| place.contains_key(&**worker));
     }
 
     /// The places of the workers that a kind may be kept on, in order.
     pub fn order(&self, kind: &Kind) -> Vec<usize> {
-        let place: BTreeMap<&str, usize> =
-            self.workers.iter().enumerate().map(|(i, w)| (&*w.name, i)).collect();
-        kind.order(&self.workers).iter().map(|w| place[&*w.name]).collect()
+        let mut order = self.by_hall.get(&kind.hall).cloned().unwrap_or_default();
+        order.sort_by_cached_key(|w| kind.rank(&self.workers[*w]));
+        order
     }
 
     /// The most that may be held at once, over all workers and classes.
     pub fn most(&self) -> usize {
-        let capacity: u64 = self.workers.iter().filter(|w| w.may_hold()).map(|w| u64::from(w.holds)).sum();
-        (capacity as f64 * self.share) as usize
+        self.most
     }
 
     /// Until when a kind is held on a worker; 0 if it is not.
--- a/crates/prewarm/src/machine.rs
+++ b/crates/prewarm/src/machine.rs
@@ -4,7 +4,7 @@
 //! another member answers for. Every member plans all kinds from the same rows, so that whoever takes over
 //! knows, and the bounds hold for all of them together.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -58,6 +58,8 @@
     learned: Learned,
     /// The workers that may be asked, in order: places in `workers`.
     order: Vec<usize>,
+    /// Who answers for it.
+    answers: Option<Arc<str>>,
     mine: bool,
     /// The window and thinning of the last arrival told, until a running time is told with it.
     told: Option<(u32, u8)>,
@@ -110,12 +112,22 @@
 
     /// Who lives, this member included or not; who answers for what follows from it.
     pub fn members(&mut self, living: &[Arc<str>]) {
-        self.members = living.to_vec();
+        let before = std::mem::replace(&mut self.members, living.to_vec());
         if !self.members.contains(&self.config.name) {
             self.members.push(self.config.name.clone());
         }
+        let (was, is): (BTreeSet<_>, BTreeSet<_>) = (before.iter().collect(), self.members.iter().collect());
+        let came: Vec<&Arc<str>> = is.difference(&was).copied().collect();
         for (number, entry) in self.kinds.iter_mut().enumerate() {
-            let mine = entry.kind.responsible(&self.members) == Some(&self.config.name);
+            // Who comes can only take a kind over, and who goes leaves only those that it answered for: no look
+            // through all members for each kind.
+            let stays = entry.answers.as_ref().filter(|m| is.contains(m));
+            let answers = match stays {
+                Some(stays) => entry.kind.first_of(came.iter().copied().chain([stays])),
+                None => entry.kind.responsible(&self.members),
+            };
+            entry.answers = answers.cloned();
+            let mine = entry.answers.as_ref() == Some(&self.config.name);
             if mine && !entry.mine {
                 // The one before may have died before it asked: what it should have asked is asked again.
                 self.holds.doubt(number);
@@ -142,11 +154,13 @@
             self.counts.unknown += 1;
             return None;
         }
+        let answers = kind.responsible(&self.members).cloned();
         self.kinds.push(Entry {
             kind: kind.clone(),
             learned: Learned::default(),
             order: self.holds.order(kind),
-            mine: kind.responsible(&self.members) == Some(&self.config.name),
+            mine: answers.as_ref() == Some(&self.config.name),
+            answers,
             told: None,
             due: Micros::MAX,
             rate: 0.0,
--- a/crates/prewarm/src/place.rs
+++ b/crates/prewarm/src/place.rs
@@ -4,6 +4,7 @@
 //! name-based mappings to increase hit rates', IEEE/ACM Transactions on Networking 6(1), 1998): the same
 //! on every member, little moved when one comes or goes. It must never rank a worker that may not be asked.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -50,13 +51,23 @@
 
     /// The member that answers for the kind among the living.
     pub fn responsible<'a>(&self, members: &'a [Arc<str>]) -> Option<&'a Arc<str>> {
-        members.iter().max_by_key(|m| (self.score(m), (*m).clone()))
+        self.first_of(members.iter())
+    }
+
+    /// The same among any.
+    pub(crate) fn first_of<'a>(&self, members: impl Iterator<Item = &'a Arc<str>>) -> Option<&'a Arc<str>> {
+        members.max_by_key(|m| (self.score(m), *m))
+    }
+
+    /// By what workers are put in order for the kind.
+    pub(crate) fn rank(&self, worker: &Worker) -> (Reverse<u64>, Arc<str>) {
+        (Reverse(self.score(&worker.name)), worker.name.clone())
     }
 
     /// The workers that may be asked, in the order in which the kind is kept on them.
     pub fn order<'a>(&self, workers: &'a [Worker]) -> Vec<&'a Worker> {
         let mut fit: Vec<&Worker> = workers.iter().filter(|w| w.hall == self.hall && w.may_hold()).collect();
-        fit.sort_by_key(|w| (std::cmp::Reverse(self.score(&w.name)), w.name.clone()));
+        fit.sort_by_cached_key(|w| self.rank(w));
         fit
     }
 }
--- a/crates/quarantine/src/code.rs
+++ b/crates/quarantine/src/code.rs
@@ -52,8 +52,8 @@
         (class < self.classes).then(|| (at * self.classes + class) as u32)
     }
 
-    pub(crate) fn hall(&self, hall: &str) -> Option<u8> {
-        self.halls.binary_search_by(|h| (**h).cmp(hall)).ok().and_then(|at| u8::try_from(at).ok())
+    pub(crate) fn hall(&self, hall: &str) -> Option<u16> {
+        self.halls.binary_search_by(|h| (**h).cmp(hall)).ok().and_then(|at| u16::try_from(at).ok())
     }
 }
 
@@ -62,7 +62,7 @@
 pub(crate) struct Told {
     /// 0 or 1: the half of the window.
     pub(crate) half: u32,
-    pub(crate) hall: u8,
+    pub(crate) hall: u16,
     /// By cell: tries, failures by kind.
     pub(crate) cells: Vec<(u32, u32, [u32; KINDS])>,
 }
@@ -71,14 +71,13 @@
 pub(crate) fn tries(
     names: &Names,
     half: u32,
-    hall: u8,
+    hall: u16,
     coarse: u8,
     cells: &[(u32, u32)],
 ) -> Vec<(Vec<u8>, Vec<u32>)> {
     let mut rows = Vec::new();
     // Most counts are one where there are many schedulers: the low bit says whether a count follows.
     for (chunk, cells) in cells.chunks(CHUNK).enumerate() {
-        let Ok(chunk) = u8::try_from(chunk) else { break };
         let mut counts = Vec::new();
         let mut next = 0;
         for &(cell, n) in cells {
@@ -91,20 +90,46 @@
         }
         // A gap of nothing at the end would be left out as a zero.
         counts.push(1);
-        let [a, b] = names.digest;
-        rows.push((vec![TRIES | half as u8, hall, a, b, coarse, chunk], counts));
+        let mut subject = vec![TRIES | half as u8, names.digest[0], names.digest[1], coarse];
+        put(&mut subject, u32::from(hall));
+        put(&mut subject, chunk as u32);
+        rows.push((subject, counts));
     }
     rows
 }
 
 /// The subject of a cell's row of failures.
-pub(crate) fn fail(names: &Names, half: u32, hall: u8, cell: u32) -> Vec<u8> {
-    let [a, b] = names.digest;
-    let mut subject = vec![FAILS | half as u8, hall, a, b];
-    subject.extend(cell.to_be_bytes().into_iter().skip_while(|b| *b == 0));
+pub(crate) fn fail(names: &Names, half: u32, hall: u16, cell: u32) -> Vec<u8> {
+    let mut subject = vec![FAILS | half as u8, names.digest[0], names.digest[1]];
+    put(&mut subject, u32::from(hall));
+    put(&mut subject, cell);
     subject
 }
 
+/// A number as a varint (LEB128): seven bits a byte, the lowest first, the high bit where more follow. One byte
+/// for each of the first 128 halls, and no bound below that of the type.
+fn put(subject: &mut Vec<u8>, mut number: u32) {
+    while number >= 0x80 {
+        subject.push(number as u8 | 0x80);
+        number >>= 7;
+    }
+    subject.push(number as u8);
+}
+
+/// Takes such a number from the front; nothing where there is none, or a longer one than any can be.
+fn take(bytes: &mut &[u8]) -> Option<u32> {
+    let mut number = 0_u32;
+    for place in 0..5 {
+        let (byte, rest) = bytes.split_first()?;
+        *bytes = rest;
+        number |= u32::from(byte & 0x7f).checked_mul(1 << (7 * place))?;
+        if byte & 0x80 == 0 {
+            return Some(number);
+        }
+    }
+    None
+}
+
 /// The bytes of a row as it is passed on: version, table, window, lengths, subject, counts as varints.
 pub(crate) fn cost(subject: &[u8], counts: &[u32]) -> u32 {
     let varint = |n: u32| (32 - n.max(1).leading_zeros()).div_ceil(7);
@@ -114,31 +139,38 @@
 /// The digest of the names that a row was written with; nothing where it is no row of evidence.
 pub(crate) fn digest(subject: &[u8]) -> Option<[u8; 2]> {
     match subject {
-        [tag, _, a, b, ..] if [TRIES, FAILS].contains(&(tag & !1)) => Some([*a, *b]),
+        [tag, a, b, _, ..] if [TRIES, FAILS].contains(&(tag & !1)) => Some([*a, *b]),
         _ => None,
     }
 }
 
 /// Reads a row of evidence against the names it was written with.
 pub(crate) fn read(names: &Names, subject: &[u8], counts: &[u32]) -> Option<Told> {
-    let [tag, hall, a, b, rest @ ..] = subject else { return None };
-    if [*a, *b] != names.digest || usize::from(*hall) >= names.halls.len() {
+    let [tag, a, b, rest @ ..] = subject else { return None };
+    let (coarse, mut rest) = match (tag & !1, rest) {
+        (TRIES, [coarse, rest @ ..]) if *coarse < 16 => (*coarse, rest),
+        (FAILS, rest) => (0, rest),
+        _ => return None,
+    };
+    let (hall, number) = (take(&mut rest)?, take(&mut rest)?);
+    if [*a, *b] != names.digest || hall as usize >= names.halls.len() || !rest.is_empty() {
         return None;
     }
     let all = (names.workers.len() * names.classes) as u32;
     let mut cells = Vec::new();
-    match (tag & !1, rest) {
-        (TRIES, [coarse, _chunk]) if *coarse < 16 => {
+    match tag & !1 {
+        // The chunk's number only tells one row from another.
+        TRIES => {
             let (mut next, mut counts) = (0_u32, counts.split_last()?.1.iter());
             while let Some(&gap) = counts.next() {
                 let n = if gap & 1 == 1 { *counts.next()? } else { 1 };
                 let cell = next.checked_add(gap / 2).filter(|c| *c < all)?;
                 next = cell + 1;
-                cells.push((cell, n.min(1 << 20) << *coarse.min(&10), [0; KINDS]));
+                cells.push((cell, n.min(1 << 20) << coarse.min(10), [0; KINDS]));
             }
         }
-        (FAILS, digits) if digits.len() <= 4 => {
-            let cell = digits.iter().fold(0_u32, |n, d| n << 8 | u32::from(*d));
+        _ => {
+            let cell = number;
             if cell >= all || counts.len() > KINDS {
                 return None;
             }
@@ -146,7 +178,6 @@
             kinds.iter_mut().zip(counts).for_each(|(k, c)| *k = (*c).min(1 << 20));
             cells.push((cell, 0, kinds));
         }
-        _ => return None,
     }
-    Some(Told { half: u32::from(tag & 1), hall: *hall, cells })
+    Some(Told { half: u32::from(tag & 1), hall: u16::try_from(hall).ok()?, cells })
 }
--- a/crates/quarantine/src/judge.rs
+++ b/crates/quarantine/src/judge.rs
@@ -207,12 +207,15 @@
     for (w, count) in &by_worker {
         count.iter().for_each(|(c, (n, _))| *served.entry((*c, *w)).or_default() += f64::from(*n));
     }
+    let tried = tried(&served);
     // What is left is each worker's own.
     let mut verdict =
         Verdict { members, paths, halls, classes: rates.raised.clone(), told, ..Verdict::default() };
     let mut own: BTreeMap<u32, BTreeMap<u16, Count>> = BTreeMap::new();
     for (w, o, c, of, cell, fails) in &cells {
-        if verdict.members.contains(o) || verdict.paths.contains(&(cell.hall, *of)) || !peers(&served, *c, *w)
+        if verdict.members.contains(o)
+            || verdict.paths.contains(&(cell.hall, *of))
+            || !peers(&served, &tried, *c, *w)
         {
             continue;
         }
@@ -269,17 +272,42 @@
 
 /// The paths that fail more than the best other path to the same hall of workers.
 fn bad_paths(sums: &BTreeMap<(u16, u16), Sums>) -> BTreeSet<(u16, u16)> {
+    // Of each hall of workers the two best paths, once: with hundreds of halls there are as many paths to each.
+    let mut two: BTreeMap<u16, [(f64, u16); 2]> = BTreeMap::new();
+    for ((from, to), (o, e)) in sums {
+        let (ratio, best) = ((o + 1.0) / (e + 1.0), two.entry(*to).or_insert([(f64::INFINITY, 0); 2]));
+        if ratio < best[0].0 {
+            *best = [(ratio, *from), best[0]];
+        } else if ratio < best[1].0 {
+            best[1] = (ratio, *from);
+        }
+    }
     let bad = |(from, to): &(u16, u16), (o, e): &Sums| {
-        let others = sums.iter().filter(|((f, t), _)| t == to && f != from);
-        let best = others.map(|(_, (o, e))| (o + 1.0) / (e + 1.0)).fold(f64::INFINITY, f64::min);
+        let best = two.get(to).and_then(|two| two.iter().find(|(_, f)| f != from));
+        let best = best.map_or(f64::INFINITY, |(ratio, _)| *ratio);
         best.is_finite() && above(*o, e * best.max(1.0)) > GATE
     };
     sums.iter().filter(|(path, s)| bad(path, s)).map(|(path, _)| *path).collect()
 }
 
 /// Whether a class has been tried by enough other workers to say what is usual for it.
-fn peers(served: &BTreeMap<(u8, u32), f64>, class: u8, worker: u32) -> bool {
-    let of = || served.range((class, 0)..=(class, u32::MAX)).filter(|((_, w), _)| *w != worker);
-    let (count, others) = of().fold((0, 0.0), |(n, sum), (_, s)| (n + u32::from(*s >= 0.5), sum + s));
-    count >= 3 && others >= served.get(&(class, worker)).copied().unwrap_or(0.0)
+fn peers(
+    served: &BTreeMap<(u8, u32), f64>,
+    tried: &BTreeMap<u8, (u32, f64)>,
+    class: u8,
+    worker: u32,
+) -> bool {
+    let own = served.get(&(class, worker)).copied().unwrap_or(0.0);
+    let (count, all) = tried.get(&class).copied().unwrap_or_default();
+    count - u32::from(own >= 0.5) >= 3 && all - own >= own
+}
+
+/// By class, how many workers have tried it, and what all of them have served together.
+fn tried(served: &BTreeMap<(u8, u32), f64>) -> BTreeMap<u8, (u32, f64)> {
+    let mut tried: BTreeMap<u8, (u32, f64)> = BTreeMap::new();
+    for ((class, _), s) in served {
+        let (count, all) = tried.entry(*class).or_default();
+        (*count, *all) = (*count + u32::from(*s >= 0.5), *all + s);
+    }
+    tried
 }
--- a/crates/quarantine/src/machine.rs
+++ b/crates/quarantine/src/machine.rs
@@ -3,6 +3,7 @@
 //! It owns when a half window is judged, whose failures count, and who proposes. It must never act on a
 //! worker, nor propose where it is not responsible.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -179,7 +180,9 @@
             let known = self.store.workers.name(*worker).and_then(|n| self.workers.get(n));
             if let Some(known) = known.filter(|k| k.from <= slot) {
                 let hall = known.worker.hall.clone();
-                halls.entry(*worker).or_insert_with(|| self.store.hall(&hall));
+                if let Entry::Vacant(new) = halls.entry(*worker) {
+                    self.store.hall(&hall).map(|hall| new.insert(hall));
+                }
             }
         }
         let fresh = judge::Carry::default();
--- a/crates/quarantine/src/proposals.rs
+++ b/crates/quarantine/src/proposals.rs
@@ -221,17 +221,13 @@
 
     /// What stands: of each worker and start the earliest that was not withdrawn.
     pub(crate) fn standing(&self) -> BTreeMap<&Subject, &Proposal> {
-        let stands = |key: &Subject, p: &Proposal| !self.ended.contains_key(&(key.clone(), p.0, p.1));
-        let first = |(key, all): (&'_ Subject, &'_ BTreeMap<Proposal, u32>)| {
-            all.keys().find(|p| stands(key, p)).cloned()
-        };
-        self.told
-            .iter()
-            .filter_map(|(key, all)| {
-                let found = first((key, all))?;
-                all.get_key_value(&found).map(|(p, _)| (key, p))
-            })
-            .collect()
+        self.told.keys().filter_map(|key| Some((key, self.stands(key)?))).collect()
+    }
+
+    /// What stands of one worker and start.
+    fn stands(&self, key: &Subject) -> Option<&Proposal> {
+        let ended = |p: &Proposal| self.ended.contains_key(&(key.clone(), p.0, p.1));
+        self.told.get(key)?.keys().find(|p| !ended(p))
     }
 
     /// Makes a proposal in a window; its number is the next.
@@ -246,7 +242,7 @@
 
     /// Withdraws a proposal.
     pub(crate) fn withdraw(&mut self, window: u32, key: &Subject, why: Reason) {
-        let Some((made, number, mut counts)) = self.standing().get(key).map(|p| (*p).clone()) else { return };
+        let Some((made, number, mut counts)) = self.stands(key).cloned() else { return };
         counts[0] = match why {
             Reason::Calm | Reason::Superseded => 2,
             Reason::Faded => 3,
@@ -259,7 +255,7 @@
 
     /// Tells a standing proposal again where it was not told for some windows, so that it does not fade.
     pub(crate) fn refresh(&mut self, window: u32, key: &Subject, every: u32) {
-        let Some(proposal) = self.standing().get(key).map(|p| (*p).clone()) else { return };
+        let Some(proposal) = self.stands(key).cloned() else { return };
         let last = self.told.get(key).and_then(|all| all.get(&proposal)).copied().unwrap_or(0);
         if last + every <= window {
             self.raise(window, key, proposal.0, proposal.1, proposal.2);
--- a/crates/quarantine/src/store.rs
+++ b/crates/quarantine/src/store.rs
@@ -59,6 +59,7 @@
     pub(crate) workers: Ids<std::sync::Arc<str>>,
     pub(crate) owners: Ids<Owner>,
     pub(crate) halls: Vec<std::sync::Arc<str>>,
+    hall_of: BTreeMap<std::sync::Arc<str>, u16>,
     cells: usize,
     most: usize,
     /// The earliest half window that changed since it was last asked.
@@ -67,9 +68,6 @@
     faded: u32,
 }
 
-/// The most halls, ever.
-const HALLS: usize = 256;
-
 impl Store {
     pub(crate) fn new(most: usize) -> Store {
         Store {
@@ -77,6 +75,7 @@
             workers: Ids::new(),
             owners: Ids::new(),
             halls: Vec::new(),
+            hall_of: BTreeMap::new(),
             cells: 0,
             most,
             dirty: None,
@@ -85,14 +84,19 @@
         }
     }
 
-    pub(crate) fn hall(&mut self, hall: &std::sync::Arc<str>) -> u16 {
-        let at = self.halls.iter().position(|h| h == hall).unwrap_or_else(|| {
-            if self.halls.len() < HALLS {
-                self.halls.push(hall.clone());
-            }
-            self.halls.len() - 1
-        });
-        at as u16
+    /// The number of a hall; nothing where there were more, ever, than there are numbers: evidence must never
+    /// count for another hall.
+    pub(crate) fn hall(&mut self, hall: &std::sync::Arc<str>) -> Option<u16> {
+        if let Some(known) = self.hall_of.get(hall) {
+            return Some(*known);
+        }
+        let Ok(new) = u16::try_from(self.halls.len()) else {
+            self.refused += 1;
+            return None;
+        };
+        self.halls.push(hall.clone());
+        self.hall_of.insert(hall.clone(), new);
+        Some(new)
     }
 
     pub(crate) fn merge(&mut self, owner: &Owner, window: u32, names: &Names, told: &Told) {
@@ -100,7 +104,7 @@
         if slot < self.faded {
             return;
         }
-        let hall = self.hall(&names.halls[usize::from(told.hall)]);
+        let Some(hall) = self.hall(&names.halls[usize::from(told.hall)]) else { return };
         let owner = self.owners.id(owner);
         let mut changed = false;
         for (cell, tries, fails) in &told.cells {
