Peers: a thousand schedulers and a list of a thousand workers

Now bounds are four thousand (of owners four lives each), parts go on where they stopped for each asker, who has an older list than is remembered gets the whole one, and a death is told for three rounds at least. Parts are numbered in two bytes. Strangers and lost join addresses are looked up in sets. The look whether all know all goes through both in order, as strict as before.

--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -14,8 +14,6 @@
 
 /// The longest id of a worker or name of discovery, in bytes.
 pub const ID: usize = 64;
-/// Gone workers that are remembered, so that others hear of them.
-const GONE: usize = 256;
 /// How many bytes of workers go into one part.
 const PART: usize = 960;
 
@@ -62,9 +60,9 @@
     /// How long ago discovery told it, in milliseconds.
     pub age: u64,
     /// Which part of how many.
-    pub part: u8,
+    pub part: u16,
     /// See `part`.
-    pub of: u8,
+    pub of: u16,
     /// The workers.
     pub workers: Vec<Worker>,
 }
@@ -112,9 +110,9 @@
 struct Coming {
     base: u64,
     number: u64,
-    of: u8,
+    of: u16,
     told: Micros,
-    seen: BTreeSet<u8>,
+    seen: BTreeSet<u16>,
     workers: Vec<Worker>,
 }
 
@@ -122,13 +120,15 @@
 #[derive(Clone, Debug)]
 pub struct Facts {
     discovery: String,
-    /// The most workers.
+    /// The most workers, and the most gone ones that are remembered beside them, so that others hear of these.
     most: usize,
     /// Older words than this are not heard.
     oldest: Micros,
     number: u64,
     told: Micros,
     workers: BTreeMap<String, Entry>,
+    /// The last change of those that are gone and forgotten: who has an older list needs the whole one.
+    forgotten: u64,
     coming: Option<Coming>,
     /// Parts of lists of other discoveries, or older ones, or with more workers than there may be.
     pub not_used: u64,
@@ -139,7 +139,7 @@
     pub fn new(discovery: &str, most: usize, oldest: Micros) -> Facts {
         let discovery = discovery.to_owned();
         let (workers, coming) = (BTreeMap::new(), None);
-        Facts { discovery, most, oldest, number: 0, told: 0, workers, coming, not_used: 0 }
+        Facts { discovery, most, oldest, number: 0, told: 0, workers, forgotten: 0, coming, not_used: 0 }
     }
 
     /// The list that is held.
@@ -171,7 +171,7 @@
         }
         for worker in list.iter().filter(|w| w.id.len() <= ID) {
             let new = Entry { standing: worker.standing, start: worker.start, changed: number };
-            let room = self.workers.len() < self.most + GONE;
+            let room = self.workers.len() < 2 * self.most;
             match self.workers.get_mut(&worker.id) {
                 Some(old) if (old.standing, old.start) == (new.standing, new.start) => {}
                 Some(old) => *old = new,
@@ -184,7 +184,8 @@
         let gone = self.workers.iter().filter(|(_, e)| e.standing == Standing::Gone);
         let mut gone: Vec<(u64, String)> = gone.map(|(id, e)| (e.changed, id.clone())).collect();
         gone.sort();
-        gone.iter().rev().skip(GONE).for_each(|(_, id)| {
+        gone.iter().rev().skip(self.most).for_each(|(changed, id)| {
+            self.forgotten = self.forgotten.max(*changed);
             self.workers.remove(id);
         });
         (self.number, self.told) = (number, told);
@@ -195,7 +196,8 @@
         if theirs.discovery != self.held().discovery || theirs.number >= self.number {
             return Vec::new();
         }
-        let base = theirs.number;
+        // Guards against a peer that takes a list without the word on who has left for the whole truth.
+        let base = if theirs.number < self.forgotten { 0 } else { theirs.number };
         let changed = self
             .workers
             .iter()
@@ -211,7 +213,7 @@
             let worker = Worker { id: id.clone(), standing: *standing, start: *start };
             parts.last_mut().into_iter().for_each(|part| part.push(worker.clone()));
         }
-        let Ok(of) = u8::try_from(parts.len()) else { return Vec::new() };
+        let Ok(of) = u16::try_from(parts.len()) else { return Vec::new() };
         let age = now.saturating_sub(self.told) / 1_000;
         let part = |(part, workers)| ListPart {
             discovery: self.discovery.clone(),
@@ -229,7 +231,7 @@
     pub fn hear(&mut self, now: Micros, part: ListPart) -> Vec<News> {
         let ListPart { discovery, base, number, age, part, of, workers } = part;
         let age = age.saturating_mul(1_000);
-        let fits = part < of && workers.len() <= self.most + GONE && workers.iter().all(|w| w.id.len() <= ID);
+        let fits = part < of && workers.len() <= 2 * self.most && workers.iter().all(|w| w.id.len() <= ID);
         if discovery != self.discovery || number <= self.number || age > self.oldest || !fits {
             self.not_used += 1;
             return Vec::new();
@@ -253,7 +255,7 @@
         if coming.seen.insert(part) {
             coming.workers.extend(workers);
         }
-        if coming.workers.len() > self.most + GONE {
+        if coming.workers.len() > 2 * self.most {
             self.not_used += 1;
         } else if coming.seen.len() < usize::from(of) {
             self.coming = Some(coming);
--- a/crates/peers/src/membership/mod.rs
+++ b/crates/peers/src/membership/mod.rs
@@ -9,7 +9,7 @@
 
 mod host;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -126,6 +126,8 @@
 
     /// Members that a peer does not know, as this one knows them.
     pub fn introduce(&self, strangers: &[Owner]) -> Vec<Met> {
+        // By order, not one by one: to a newcomer in a large fleet nearly all are strangers.
+        let strangers: BTreeSet<&Owner> = strangers.iter().collect();
         let mut met: Vec<Met> = self
             .foca
             .iter_members()
@@ -268,8 +270,10 @@
             .map(|m| m.id().clone())
             .collect();
         all.sort();
-        let alive = |at: &SocketAddr| self.foca.iter_members().any(|m| m.id().at == *at);
-        let lost = self.join.iter().filter(|at| !alive(at) && !all.iter().any(|id| id.at == **at));
+        // The join addresses may be as many as there are members: no look through all of these for each.
+        let known = self.foca.iter_members().map(|m| m.id().at).chain(all.iter().map(|id| id.at));
+        let known: BTreeSet<SocketAddr> = known.collect();
+        let lost = self.join.iter().filter(|at| !known.contains(at));
         let lost: Vec<Identity> = lost.map(|at| anybody(*at)).collect();
         all.extend(lost);
         if let Some(to) = self.rng.choice(&all).cloned() {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -102,3 +102,20 @@
         }
     }
 }
+
+/// Members in as many datagrams as they need.
+pub(crate) fn chunks(met: Vec<Met>, room: usize) -> impl Iterator<Item = Vec<Met>> {
+    let mut chunks: Vec<Vec<Met>> = Vec::new();
+    let mut left = 0;
+    for met in met {
+        // Lengths, life, generation, address (IPv6) and incarnation, as varints.
+        let size = met.0.owner.name.len() + 1 + 10 + 3 + 21 + 3;
+        if size > left {
+            chunks.push(Vec::new());
+            left = room.saturating_sub(4);
+        }
+        left = left.saturating_sub(size);
+        chunks.last_mut().into_iter().for_each(|chunk| chunk.push(met.clone()));
+    }
+    chunks.into_iter()
+}
--- a/crates/peers/src/node/form.rs
+++ b/crates/peers/src/node/form.rs
@@ -54,7 +54,7 @@
             key: None,
             join,
             discovery: String::new(),
-            members: 1_024,
+            members: 4_096,
             workers: 4_096,
             skew: 60_000_000,
             rate: 4_096,
--- a/crates/peers/src/node/mod.rs
+++ b/crates/peers/src/node/mod.rs
@@ -14,8 +14,8 @@
 use crate::datagram::{Bad, Dropped, Frames};
 use crate::exchange::{self, Cursor, Difference};
 use crate::facts::{Facts, ListNumber, News, Worker};
-use crate::membership::{Act, Identity, Membership, Met};
-use crate::message::Body;
+use crate::membership::{Act, Identity, Membership};
+use crate::message::{chunks, Body};
 use crate::rows::{Limits, Owner, Rows};
 use crate::snapshot::Snapshot;
 use crate::Micros;
@@ -32,8 +32,10 @@
 const ASKS: u32 = 100;
 /// Datagrams of members in one answer.
 const MET: usize = 2;
-/// How long a death is told in exchanges.
+/// How long a death is told in exchanges, and for how many rounds of digests at the least: with many owners a
+/// round takes longer than that, and who has missed the news would never hear of it.
 const LATELY: Micros = 5_000_000;
+const ROUNDS: u64 = 3;
 /// At least one exchange in so many goes to a dead member, in case that it lives behind a partition; as
 /// many as there are dead among all, but no more than half.
 const TO_THE_DEAD: usize = 4;
@@ -50,8 +52,8 @@
     installation: String,
     living: BTreeMap<Owner, SocketAddr>,
     dead: BTreeMap<Owner, (SocketAddr, Micros)>,
-    /// To whom the list went, and when.
-    listed: BTreeMap<SocketAddr, Micros>,
+    /// To whom parts of the list went, when, and which is the next.
+    listed: BTreeMap<SocketAddr, (Micros, usize)>,
     asked: Micros,
     next_exchange: Micros,
     /// When the next member is asked for a list, as long as there is none.
@@ -232,8 +234,8 @@
     /// those that died long ago: behind a partition these live on, and theirs would be buried there too.
     /// But it hears if it is itself one of them, and comes back.
     fn tell_dead(&mut self, now: Micros, to: SocketAddr, other: &Owner, dead: Vec<Owner>) {
-        let lately =
-            |owner: &Owner| self.dead.get(owner).filter(|(_, at)| owner == other || now < at + LATELY);
+        let told = LATELY.max(ROUNDS * self.rows.sizes().1.div_ceil(exchange::OWNERS) as u64 * self.every);
+        let lately = |owner: &Owner| self.dead.get(owner).filter(|(_, at)| owner == other || now < at + told);
         let dead: Vec<SocketAddr> =
             dead.iter().chain([other]).filter_map(|owner| Some(lately(owner)?.0)).collect();
         if let Some(met) = chunks(self.membership.buried(&dead), self.frames.room()).next() {
@@ -254,16 +256,25 @@
             }
             return;
         }
-        if self.listed.get(&from).is_some_and(|at| now < at + LIST_EVERY) {
+        if self.listed.get(&from).is_some_and(|(at, _)| now < at + LIST_EVERY) {
             return;
         }
         if self.listed.len() >= self.members {
-            self.listed.retain(|_, at| now < *at + LIST_EVERY);
-        }
-        self.listed.insert(from, now);
-        for part in self.facts.parts(now, theirs) {
-            self.send(now, from, Class::List, &Body::List(part));
+            self.listed.retain(|_, (at, _)| now < *at + LIST_EVERY);
         }
+        // As far as the budget goes, and on from there when it asks again. Guards against a long list of which the
+        // parts beyond one burst never come: each answer would begin with the same ones.
+        let mut parts = self.facts.parts(now, theirs);
+        let next =
+            self.listed.get(&from).map_or_else(|| self.rng.usize(..parts.len().max(1)), |(_, next)| *next);
+        let next = next % parts.len().max(1);
+        parts.rotate_left(next);
+        let sent = parts.into_iter().take_while(|part| {
+            let part = Body::List(part.clone());
+            self.send(now, from, Class::List, &part)
+        });
+        let sent = sent.count();
+        self.listed.insert(from, (now, next + sent));
     }
 
     /// There is a newer list: some hear its number, and ask for it.
@@ -377,20 +388,3 @@
         self.effects.pop_front()
     }
 }
-
-/// Members in as many datagrams as they need.
-fn chunks(met: Vec<Met>, room: usize) -> impl Iterator<Item = Vec<Met>> {
-    let mut chunks: Vec<Vec<Met>> = Vec::new();
-    let mut left = 0;
-    for met in met {
-        // Lengths, life, generation, address (IPv6) and incarnation, as varints.
-        let size = met.0.owner.name.len() + 1 + 10 + 3 + 21 + 3;
-        if size > left {
-            chunks.push(Vec::new());
-            left = room.saturating_sub(4);
-        }
-        left = left.saturating_sub(size);
-        chunks.last_mut().into_iter().for_each(|chunk| chunk.push(met.clone()));
-    }
-    chunks.into_iter()
-}
--- a/crates/peers/src/rows/form.rs
+++ b/crates/peers/src/rows/form.rs
@@ -64,7 +64,7 @@
     pub ahead: u32,
     /// How far ahead of the own clock a life may have begun, in microseconds.
     pub skew: Micros,
-    /// The most owners, dead lives included.
+    /// The most owners, dead lives included: these are kept as long as their rows, so some for each member.
     pub owners: usize,
     /// The most rows of one owner.
     pub rows_each: usize,
@@ -85,7 +85,7 @@
             keep: 60,
             ahead: 2,
             skew: 60_000_000,
-            owners: 1_024,
+            owners: 4 * 4_096,
             rows_each: 4_096,
             rows: 200_000,
             bytes: 32 << 20,
--- a/crates/peers/tests/fleet/world.rs
+++ b/crates/peers/tests/fleet/world.rs
@@ -280,11 +280,13 @@
         self.slots.iter().enumerate().filter_map(|(i, slot)| Some((i, slot.node.as_ref()?)))
     }
 
-    /// Every living node knows all others that live, and nobody else.
+    /// Every living node knows all others that live, and nobody else. Both are in order: no search for each, as
+    /// among a thousand that took nearly all of a test's time.
     pub fn all_know_all(&self) -> bool {
-        let there: BTreeSet<Owner> = self.alive().map(|(_, node)| node.rows().me().clone()).collect();
+        let there: BTreeSet<&Owner> = self.alive().map(|(_, node)| node.rows().me()).collect();
         self.alive().all(|(_, node)| {
-            node.living().count() + 1 == there.len() && node.living().all(|(owner, _)| there.contains(owner))
+            let others = there.iter().copied().filter(|owner| *owner != node.rows().me());
+            others.eq(node.living().map(|(owner, _)| owner))
         })
     }
 
