Server and decisions at a thousand workers; a learned drain stays a drain

Now 4 MiB are read, as of the file, 4,096 of either are taken, rows have four lives for each and an eighth of the memory, and what peers tell at once is one change, in which nothing becomes less careful. Ruled out: a bound on the list by the memory, which would refuse on small machines what must be read.

--- /dev/null
+++ b/crates/core/tests/mechanism/large.rs
@@ -0,0 +1,129 @@
+//! A thousand workers and a thousand dispatchers: one of these, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use oakshed_core::interface::*;
+use oakshed_core::Dispatcher;
+
+use crate::common::*;
+
+const MANY: u32 = 1_024;
+
+fn fleet() -> Settings {
+    let obligations = Settings {
+        cold_share: 0.3,
+        ramp: 9_000 * MS,
+        fall_multiple: 3.0,
+        fall_span: 2_000 * MS,
+        ..settings()
+    };
+    Settings {
+        dispatchers: MANY,
+        list_on_request: true,
+        ask_every: 10_000 * MS,
+        tells_start: true,
+        ..obligations
+    }
+}
+
+fn rows(of: impl Iterator<Item = u32>, condition: Condition) -> Vec<Row> {
+    of.map(|w| Row { zone: w % 3, condition, ..row(w) }).collect()
+}
+
+fn list(bench: &mut Bench, kind: ListKind, rows: &[Row]) -> Vec<Action> {
+    bench.event(Event::List { kind, rows })
+}
+
+/// Serves jobs, several at a time; tells how many each worker got.
+fn serve(bench: &mut Bench, jobs: usize) -> BTreeMap<u64, u32> {
+    let mut got: BTreeMap<u64, u32> = BTreeMap::new();
+    for _ in 0..jobs / 8 {
+        let open: Vec<_> = (0..8)
+            .filter_map(|_| {
+                let (id, actions) = bench.request(0);
+                sent(&actions, id).map(|worker| (id, worker))
+            })
+            .collect();
+        bench.now += MS;
+        open.iter().for_each(|(id, _)| _ = bench.started(*id, 0));
+        bench.now += 40 * MS;
+        for (id, worker) in open {
+            bench.settled(id, 0, Ending::Delivered);
+            *got.entry(worker.0).or_default() += 1;
+        }
+    }
+    got
+}
+
+#[test]
+fn one_of_a_thousand_dispatchers_uses_a_thousand_workers_and_leaves_who_leaves() {
+    let mut bench = Bench::new(fleet(), 0);
+    list(&mut bench, ListKind::All, &rows(0..MANY, Condition::Active));
+    assert_eq!(bench.dispatcher.members().listed, MANY as usize);
+    let got = serve(&mut bench, 4 * MANY as usize);
+    assert_eq!(got.values().sum::<u32>(), 4 * MANY, "all are sent");
+    // Random picks of two leave a few out; a cap below a thousand anywhere would leave out many.
+    assert!(got.len() > MANY as usize * 9 / 10, "{} workers are used", got.len());
+    assert!(got.values().all(|n| *n <= 20), "{:?}", got.values().max());
+    // Two in three leave, in one change.
+    list(&mut bench, ListKind::Changes, &rows((0..MANY).filter(|w| w % 3 > 0), Condition::Leaving));
+    let got = serve(&mut bench, MANY as usize);
+    assert!(got.keys().all(|w| w % 3 == 0), "a job went to a worker that leaves");
+    assert!(got.values().sum::<u32>() > MANY / 2);
+    // They come back as others, each cold: to each at most its part.
+    let (anew, now) = ((0..MANY).filter(|w| w % 3 > 0), bench.now);
+    let anew: Vec<Row> =
+        rows(anew, Condition::Active).into_iter().map(|r| Row { online_since: now, ..r }).collect();
+    list(&mut bench, ListKind::Changes, &anew);
+    let got = serve(&mut bench, 256);
+    let (cold, most) =
+        got.iter().filter(|(w, _)| *w % 3 > 0).fold((0, 0), |(n, most), (_, g)| (n + g, most.max(*g)));
+    assert!(most <= 1, "one of a thousand dispatchers sent a cold worker {most} jobs, {cold} in all");
+}
+
+/// Guards against calls for the list that come closer in a fleet of a thousand than in one of hundreds.
+#[test]
+fn a_thousand_that_start_without_a_list_ask_over_the_whole_time_there_is() {
+    let mut at = BTreeSet::new();
+    for seed in 0..u64::from(MANY) {
+        let mut dispatcher = Dispatcher::new(fleet(), seed).expect("usable settings");
+        let (mut now, mut actions) = (START, Vec::new());
+        dispatcher.on_event(now, Event::Timer);
+        dispatcher.dispatch(now, &mut actions);
+        while !actions.iter().any(|a| matches!(a, Action::Subscribe)) {
+            let after =
+                actions
+                    .iter()
+                    .filter_map(|a| if let Action::Wake { after } = a { Some(*after) } else { None });
+            now += after.min().expect("a timer until it asks");
+            actions.clear();
+            dispatcher.on_event(now, Event::Timer);
+            dispatcher.dispatch(now, &mut actions);
+        }
+        at.insert((now - START, seed));
+    }
+    let last = at.last().expect("some").0;
+    assert!(last <= 7_100 * MS, "the last asks after {} ms", last / MS);
+    let second = |s: u64| at.range((s * 1_000 * MS, 0)..((s + 1) * 1_000 * MS, 0)).count();
+    let most = (0..8).map(second).max().expect("some");
+    assert!(most <= MANY as usize / 5, "{most} ask within one second");
+}
+
+/// Prints what a change of the list costs, by its length: a whole list, and one row of it.
+#[test]
+fn list_changes() {
+    for n in [14, 200, MANY, 4 * MANY] {
+        let mut bench = Bench::new(fleet(), n);
+        let all = rows(0..n, Condition::Active);
+        let time = |bench: &mut Bench, kind, rows: &[Row]| {
+            let begin = Instant::now();
+            (0..20).for_each(|_| _ = list(bench, kind, rows));
+            begin.elapsed().as_micros() / 20
+        };
+        let (whole, one) =
+            (time(&mut bench, ListKind::All, &all), time(&mut bench, ListKind::Changes, &all[..1]));
+        println!("{n} workers: a whole list takes {whole} us, a change of one {one} us");
+        assert_eq!(bench.dispatcher.members().listed, n as usize);
+    }
+}
--- a/crates/core/tests/mechanism/main.rs
+++ b/crates/core/tests/mechanism/main.rs
@@ -10,6 +10,7 @@
 mod common;
 mod failing;
 mod input;
+mod large;
 mod list;
 mod pick;
 mod probes;
--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// The entry of one backend, where the list has it.
+    pub fn find(&self, backend: &str) -> Option<&Instance> {
+        self.instances.get(backend)
+    }
+
     /// The whole list, in discovery's form; nothing where none was ever told.
     pub fn whole(&self) -> Option<Answer> {
         let instances: Vec<Instance> = self.instances.values().cloned().collect();
--- a/crates/server/src/net/backends/mod.rs
+++ b/crates/server/src/net/backends/mod.rs
@@ -91,6 +91,11 @@
         self.all.borrow().iter().any(|(name, b)| b.ready && which(name))
     }
 
+    /// Whether something new may go to a backend, as far as the list is concerned.
+    pub(crate) fn is_ready(&self, name: &str) -> bool {
+        self.address(name).is_some()
+    }
+
     /// Sockets to backends that are open or being opened.
     pub(crate) fn sockets(&self) -> usize {
         self.open.get()
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -29,8 +29,9 @@
 const PATH: &str = "/v1/endpoints";
 /// The longest that connecting may take.
 const DIAL: Duration = Duration::from_secs(1);
-/// The largest list that is read.
-const LARGEST_LIST: usize = 1 << 20;
+/// The largest list that is read: 4 KB for each of 1,024 workers, so that it may come indented, with the longest
+/// names and fields that are not known yet. As much as is read of the file that holds such a list.
+const LARGEST_LIST: usize = 4 << 20;
 
 /// Takes in the list as it was last held, before anything else is known. Not where the list is pushed: what the
 /// agent has counts as told from the first moment, so that nothing is sent by an older one unless the agent is
--- a/crates/server/src/net/handover.rs
+++ b/crates/server/src/net/handover.rs
@@ -38,7 +38,7 @@
 const WAIT: Duration = Duration::from_secs(1);
 /// How long the message may take to be taken.
 const TAKE: Duration = Duration::from_secs(2);
-/// The longest message that is read: a list is a megabyte at most.
+/// The longest message that is read: a list is half of it at most.
 const LONGEST: usize = 8 << 20;
 /// The longest line that a caller may say.
 const LONGEST_LINE: u64 = 64;
--- a/crates/server/src/net/peers/mod.rs
+++ b/crates/server/src/net/peers/mod.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tracing::{info, warn};
@@ -27,6 +28,8 @@
 
 /// Datagrams that are taken before the timers are looked at: after a stall what waits counts first.
 const AT_ONCE: usize = 512;
+/// The lives of each member of which rows are kept: the one that is there, and those that ended lately.
+const OWNERS_EACH: usize = 4;
 /// Between two tries to bind while the process before still holds the address.
 const REBIND: Duration = Duration::from_millis(200);
 /// Between two lines on bad peers.
@@ -59,6 +62,9 @@
     // Where members were is as good a place to ask as the join addresses.
     form.join.extend(old.iter().flat_map(|old| old.members.iter().copied()).take(entry.members));
     (form.key, form.members, form.discovery) = (key, entry.members, config.discovery.to_string());
+    // Of each member some lives; of the memory, of which half may be all there is, an eighth.
+    form.limits.owners = OWNERS_EACH * entry.members;
+    form.limits.bytes = form.limits.bytes.min(config.memory / 8);
     let mut node = Node::new(form, now, config.seed ^ now);
     if let Some(old) = old {
         node.learn(old);
@@ -131,6 +137,7 @@
 
 /// Does what the state machine wants done.
 fn settle(net: &Rc<Net>, peers: &Peers, socket: &UdpSocket) {
+    let mut news = Vec::new();
     loop {
         let effect = peers.node.borrow_mut().poll_effect();
         match effect {
@@ -146,9 +153,10 @@
             Some(Effect::Died(Owner { name, life })) => {
                 warn!(event = "dead", member = &*name, life, "peers: {name} is dead");
             }
-            Some(Effect::List(from, news)) => learn(net, &from, news),
+            Some(Effect::List(from, word)) => news.push((from, word)),
         }
     }
+    learn(net, news);
 }
 
 /// One line a second at most, and only where something was dropped since.
@@ -196,30 +204,44 @@
     peers.changed.notify_one();
 }
 
-/// What a peer knows of the list: only what makes more careful, and only of workers that the own list has.
-fn learn(net: &Rc<Net>, from: &Owner, news: News) {
+/// What peers know of the list: only what makes more careful, and only of workers that the own list has. All
+/// that has come is taken in as one change. Guards against a lost zone of which each worker would be a change
+/// of the whole list, and against a word on a worker's start that takes back what another has said of it.
+fn learn(net: &Rc<Net>, all: Vec<(Owner, News)>) {
     if *net.discovery.borrow() != net.config.discovery {
         return;
     }
-    let (worker, condition, start) = match &news {
-        News::Whole { number, age } => {
-            let (peer, age_ms) = (&*from.name, age / 1_000);
-            info!(event = "list from peer", number, peer, age_ms, "peers: list {number} from {peer}");
-            return;
+    let mut learned: FxHashMap<Rc<str>, (Entry, SocketAddr)> = FxHashMap::default();
+    for (from, news) in all {
+        let peer = &*from.name;
+        let (worker, condition, start) = match &news {
+            News::Whole { number, age } => {
+                let age_ms = age / 1_000;
+                info!(event = "list from peer", number, peer, age_ms, "peers: list {number} from {peer}");
+                continue;
+            }
+            News::Leaving { worker, standing: Standing::Gone, .. } => (worker, Some(Condition::Left), 0),
+            News::Leaving { worker, .. } => (worker, Some(Condition::Leaving), 0),
+            News::Colder { worker, start } => (worker, None, start * 1_000),
+        };
+        let held = net.held.borrow();
+        let Some(own) = held.find(worker) else { continue };
+        let (mut entry, address) = match learned.remove(&**worker) {
+            Some(known) => known,
+            None => (own.entry(&net.config.names), own.host_port),
+        };
+        if entry.condition == Condition::Active && !net.backends.is_ready(worker) {
+            entry.condition = Condition::Leaving;
         }
-        News::Leaving { worker, standing: Standing::Gone, .. } => (worker, Some(Condition::Left), 0),
-        News::Leaving { worker, .. } => (worker, Some(Condition::Leaving), 0),
-        News::Colder { worker, start } => (worker, None, start * 1_000),
-    };
-    let Some(held) = net.held.borrow().whole() else { return };
-    let own = held.instances.iter().map(|i| (i.entry(&net.config.names), i.host_port));
-    let Some((mut entry, address)) = own.into_iter().find(|(entry, _)| *entry.backend == **worker) else {
+        entry.condition = condition.unwrap_or(entry.condition);
+        entry.online_since = entry.online_since.max(start);
+        info!(event = "learned", worker, peer, "peers: {worker} is {:?} by {peer}", entry.condition);
+        learned.insert(entry.backend.clone(), (entry, address));
+    }
+    if learned.is_empty() {
         return;
-    };
-    entry.condition = condition.unwrap_or(entry.condition);
-    entry.online_since = entry.online_since.max(start);
-    let peer = &*from.name;
-    info!(event = "learned", worker, peer, "peers: {worker} is {:?} by {peer}", entry.condition);
-    net.backends.update(false, std::iter::once((&entry, address)));
-    net.report(Seen::List(ListKind::Changes, &[entry]));
+    }
+    let (entries, addresses): (Vec<Entry>, Vec<SocketAddr>) = learned.into_values().unzip();
+    net.backends.update(false, entries.iter().zip(addresses));
+    net.report(Seen::List(ListKind::Changes, &entries));
 }
--- a/crates/server/src/operator/peers.rs
+++ b/crates/server/src/operator/peers.rs
@@ -24,7 +24,7 @@
     /// Addresses of some schedulers, the same at all of them: three, and one for each 40 schedulers where
     /// that is more.
     #[serde(default)]
-    #[schemars(with = "Vec<String>", length(max = 64))]
+    #[schemars(with = "Vec<String>", length(max = 4_096))]
     pub join: Vec<SocketAddr>,
     /// The installation's name: what others send is dropped.
     #[serde(default = "installation")]
@@ -49,7 +49,7 @@
     "oakshed".into()
 }
 fn members() -> usize {
-    512
+    4_096
 }
 
 impl Peers {
--- a/crates/server/tests/peers.rs
+++ b/crates/server/tests/peers.rs
@@ -171,15 +171,26 @@
 
 #[test]
 fn a_drain_that_discovery_tells_one_is_used_by_all() {
+    drain("drain", 0, 1);
+}
+
+/// Guards against the word on its start that takes back, a moment later, that the worker is leaving.
+#[test]
+fn a_drain_is_used_by_all_also_of_a_worker_that_has_started_anew() {
+    drain("anew", 5, 2);
+}
+
+/// One of three is told that a worker drains, and when it has started; the others learn of it in so many lines.
+fn drain(folder: &str, started: u64, lines: usize) {
     let (first, second) = (good(), good());
     let (drains, claimed) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
-    let entry = |name: &str, at: SocketAddr, state: &str| {
+    let entry = |name: &str, at: SocketAddr, state: &str, started: u64| {
         format!(
-            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":0}}"#
+            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"hofdi","machineType":"fast-7","cell":0,"lifecycle":"{state}","weight":1.0,"startedAtMs":{started}}}"#
         )
     };
-    let whole = [entry("s-1", first.address, "ready"), entry("s-2", second.address, "ready")].join(",");
-    let drain = entry("s-2", second.address, "draining");
+    let whole = [entry("s-1", first.address, "ready", 0), entry("s-2", second.address, "ready", 0)].join(",");
+    let drain = entry("s-2", second.address, "draining", started);
     let drained = drains.clone();
     // Of all watches one alone hears of the drain; the others hold, and tell nothing.
     let discovery = Peer::new(move |message, stream| {
@@ -198,7 +209,7 @@
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.write_all((head + &body).as_bytes()).is_ok()
     });
-    let (folder, at) = (Folder::new("drain"), addresses(3));
+    let (folder, at) = (Folder::new(folder), addresses(3));
     let all: Vec<Scheduler> = (0..3).map(|i| Scheduler::start(&folder, discovery.address, i, &at)).collect();
     for scheduler in &all {
         let text = |s: &Scheduler| s.log.lock().unwrap().clone();
@@ -207,8 +218,10 @@
     }
     drains.store(true, Ordering::SeqCst);
     until("two heard it from the third", || {
-        all.iter().filter(|s| s.told("learned", "worker", "s-2") == 1).count() == 2
+        all.iter().filter(|s| s.told("learned", "worker", "s-2") == lines).count() == 2
     });
+    let taken_back = |s: &Scheduler| s.log.lock().unwrap().contains("s-2 is Active");
+    assert!(!all.iter().any(taken_back), "a later word took back that it leaves");
     let before = second.count();
     for (i, at) in all.iter().map(Scheduler::address).enumerate() {
         for n in 0..20 {
--- a/crates/server/tests/sockets/main.rs
+++ b/crates/server/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod closing;
 mod customers;
 mod discovery;
+mod large;
 mod leaving;
 mod malformed;
 mod passing;
--- a/crates/server/tests/sockets/start.rs
+++ b/crates/server/tests/sockets/start.rs
@@ -100,3 +100,26 @@
     assert!(text.contains("/jobs/lease_ms") && text.contains("jbos"), "{text}");
     _ = std::fs::remove_file(path);
 }
+
+/// Guards against a bound on schedulers that a fleet of a thousand reaches: on the addresses by which they find one
+/// another, and on those that are taken up where the file doesn't say.
+#[test]
+fn an_operator_file_may_name_a_thousand_schedulers() {
+    let path = std::env::temp_dir().join(format!("oakshed-thousand-{}.json", std::process::id()));
+    let join: Vec<String> =
+        (0..1_024).map(|n| format!("\"10.0.{}.{}:7000\"", n / 250, n % 250 + 1)).collect();
+    let text = format!(r#"{{"peers":{{"listen":"127.0.0.1:7000","join":[{}]}}}}"#, join.join(","));
+    std::fs::write(&path, text).expect("written");
+    let config = config("127.0.0.1:9".parse().expect("an address"), "null", 1024);
+    let told = Command::new(Program::binary())
+        .args(["check", "--operator", path.to_str().expect("a path")])
+        .env("ROUTER_CONFIG", &config)
+        .output()
+        .expect("run");
+    assert_eq!(told.status.code(), Some(0), "{}", String::from_utf8_lossy(&told.stderr));
+    let schema = Command::new(Program::binary()).arg("schema").output().expect("run").stdout;
+    let schema: serde_json::Value = serde_json::from_slice(&schema).expect("a schema");
+    let most = &schema["$defs"]["Peers"]["properties"]["members"]["default"];
+    assert!(most.as_u64() >= Some(1_024), "{most}");
+    std::fs::remove_file(path).and_then(|()| std::fs::remove_file(config)).expect("removed");
+}
