--- a/crates/server/src/list.rs
+++ b/crates/server/src/list.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// The entry of one backend, where the list has it.
+    pub fn find(&self, backend: &str) -> Option<&Instance> {
+        self.instances.get(backend)
+    }
+
     /// The whole list, in discovery's form; nothing where none was ever told.
     pub fn whole(&self) -> Option<Answer> {
         (!self.instances.is_empty()).then(|| self.list())
