Check the operators' terms in every trial, and play deployments drawn from a seed

New checks, each with a test that breaks it and one that lets a legal history pass: requests without an answer (one in 500 and five more), processes that turn all away for 4 s (one in ten), the time told in further attempts (0.15 s, a fifth), failed answers without an attempt, a drain 4 s after a reload, repeats out of their group or window, and a class with under a third of the best served one's share. The trial 'drawn' plays classes, effects, groups, windows, deadlines, aims, worths, work, list form (pushed, asked for, whole, late, indented), reports, weights, zones, cells and sizes from the seed, with drains, kills, a reload, refused calls and a cold start. Stand-in workers now note a job as it comes: what was given up in their queue was not seen before.

--- a/crates/standin/src/fleet/discovery.rs
+++ b/crates/standin/src/fleet/discovery.rs
@@ -70,6 +70,21 @@
     pub started_ms: u64,
     /// The list's number since which it is so.
     pub since: u64,
+    /// Its zone and its cell.
+    pub place: (String, u64),
+    /// Its weight.
+    pub weight: f64,
+}
+
+/// In what form the list is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Form {
+    /// News come as the whole list, in which what is gone does not stand.
+    pub whole: bool,
+    /// With line breaks and indents.
+    pub indented: bool,
+    /// News come so much later.
+    pub late: Duration,
 }
 
 /// Tells a worker's address as a caller is to see it.
@@ -81,6 +96,8 @@
     pace: Option<Pace>,
     slow: Duration,
     mute: bool,
+    refuse: bool,
+    form: Form,
     calls: Vec<Call>,
 }
 
@@ -113,6 +130,8 @@
             pace: None,
             slow: Duration::ZERO,
             mute: false,
+            refuse: false,
+            form: Form::default(),
             calls: Vec::new(),
         };
         let signal = watch::Sender::new(Signal { number: 1, ..Signal::default() });
@@ -171,12 +190,26 @@
     }
 
     /// A worker is so from now on; tells the list's new number.
+    ///
+    /// # Panics
+    /// Where it is not listed.
     pub fn set(&self, worker: &str, lifecycle: &'static str, started_ms: u64) -> u64 {
         self.change(|list| {
-            list.insert(worker.to_owned(), Placed { lifecycle, started_ms, since: 0 });
+            let placed = list.get_mut(worker).expect("a listed worker");
+            (placed.lifecycle, placed.started_ms) = (lifecycle, started_ms);
         })
     }
 
+    /// Tells the list in that form from now on.
+    pub fn form(&self, form: Form) {
+        self.0.state.borrow_mut().form = form;
+    }
+
+    /// Each call that comes is refused while this is set; watches that are open go on.
+    pub fn refuse(&self, refuse: bool) {
+        self.0.state.borrow_mut().refuse = refuse;
+    }
+
     /// A worker's entry has another lifecycle from now on; tells the list's new number.
     ///
     /// # Panics
@@ -212,7 +245,7 @@
 
     /// The whole list as a caller is told it, for its `known`.
     pub fn known(&self, caller: usize) -> Value {
-        self.0.list(caller, None)
+        self.0.list(caller, None, false)
     }
 
     /// The list's number.
@@ -227,16 +260,18 @@
 }
 
 impl Shared {
-    fn list(&self, caller: usize, from: Option<u64>) -> Value {
+    fn list(&self, caller: usize, from: Option<u64>, whole: bool) -> Value {
         let state = self.state.borrow();
         let entry = |(name, placed): (&String, &Placed)| {
             json!({
-                "instanceId": name, "hostPort": (self.wheres)(caller, name), "zone": "hofdi",
-                "machineType": "fast-7", "cell": 0, "lifecycle": placed.lifecycle, "weight": 1.0,
-                "startedAtMs": placed.started_ms,
+                "instanceId": name, "hostPort": (self.wheres)(caller, name), "zone": placed.place.0,
+                "machineType": "fast-7", "cell": placed.place.1, "lifecycle": placed.lifecycle,
+                "weight": placed.weight, "startedAtMs": placed.started_ms,
             })
         };
-        let news = state.entries.iter().filter(|(_, p)| from.is_none_or(|from| p.since > from));
+        let from = from.filter(|from| !whole || *from == state.number);
+        let told = |p: &Placed| from.map_or(p.lifecycle != "gone", |from| p.since > from);
+        let news = state.entries.iter().filter(|(_, p)| told(p));
         let instances: Vec<Value> = news.map(entry).collect();
         json!({ "generation": state.number, "reset": from.is_none(), "instances": instances })
     }
@@ -254,11 +289,15 @@
             pairs.find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<u64>().ok())
         };
         let (from, hold) = (value("from"), Duration::from_millis(value("hold_ms").unwrap_or(0)));
-        let (call, pace, slow, mute) = {
+        let (call, pace, slow, mute, refuse) = {
             let mut state = self.state.borrow_mut();
             state.calls.push(Call { caller, at: now_us(), from, outcome: Outcome::Open, done: None });
-            (state.calls.len() - 1, state.pace, state.slow, state.mute)
+            (state.calls.len() - 1, state.pace, state.slow, state.mute, state.refuse)
         };
+        if refuse {
+            self.end(call, Outcome::Refused);
+            return answer(503, "");
+        }
         if mute {
             pending::<()>().await;
         }
@@ -280,18 +319,23 @@
                 pending::<()>().await;
             }
         }
+        let form = self.state.borrow().form;
+        if from.is_some() {
+            sleep(form.late).await;
+        }
         let number = self.state.borrow().number;
         // A number that was never given is another discovery's: it gets the whole.
         let from = from.filter(|from| *from <= number);
-        let list = self.list(caller, from);
+        let list = self.list(caller, from, form.whole);
         self.end(
             call,
             match from {
                 None => Outcome::Whole(number),
                 Some(from) if from == number => Outcome::Nothing,
+                Some(_) if form.whole => Outcome::Whole(number),
                 Some(_) => Outcome::Changes(number),
             },
         );
-        answer(200, list.to_string())
+        answer(200, if form.indented { format!("{list:#}") } else { list.to_string() })
     }
 }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -17,8 +17,8 @@
 use hyper::Response;
 use tokio::net::{TcpListener, TcpStream};
 
-pub use discovery::{Call, FleetDiscovery, Outcome, Pace, Placed};
-pub use worker::{Arrival, FleetWorker, FleetWorkerOptions};
+pub use discovery::{Call, FleetDiscovery, Form, Outcome, Pace, Placed};
+pub use worker::{Arrival, FleetWorker, FleetWorkerOptions, Reports};
 
 /// What a stand-in answers with: all at once, or piece by piece.
 type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -38,6 +38,23 @@
     pub ramp: Duration,
     /// The file of its promises, if any; only jobs with a lease are in it.
     pub ledger: Option<PathBuf>,
+    /// Classes whose jobs run so many times as long, by their names.
+    pub factors: Vec<(String, f64)>,
+    /// It tells when a job starts, and how it goes on.
+    pub tells_start: bool,
+    /// What it says of its load: in answers, or when it is asked.
+    pub reports: Reports,
+}
+
+/// How a worker tells its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// Not at all; who asks gets 404.
+    None,
+    /// With each result.
+    Answers,
+    /// To who asks.
+    Probes,
 }
 
 impl Default for FleetWorkerOptions {
@@ -49,6 +66,9 @@
             cold_share: 1.0,
             ramp: Duration::ZERO,
             ledger: None,
+            factors: Vec::new(),
+            tells_start: true,
+            reports: Reports::None,
         }
     }
 }
@@ -62,7 +82,9 @@
     pub request: String,
     /// Its lease's id.
     pub lease: Option<String>,
-    /// It was run; else declined.
+    /// How long its scheduler waits for it, as told, in milliseconds.
+    pub told_ms: Option<u64>,
+    /// It was run; else declined, or given up before its turn.
     pub ran: bool,
 }
 
@@ -157,11 +179,20 @@
 
 impl Shared {
     /// How long a job runs that starts now.
-    fn service(&self) -> Duration {
+    fn service(&self, class: &str) -> Duration {
         let (cold, ramp) = (self.options.cold_share, self.options.ramp.as_secs_f64());
         let age = now_us().saturating_sub(self.started.get()) as f64 / 1e6;
         let warmth = if ramp > 0.0 { (cold + (1.0 - cold) * age / ramp).clamp(0.01, 1.0) } else { 1.0 };
-        self.options.service.div_f64(warmth)
+        let factor = self.options.factors.iter().find(|(name, _)| name == class).map_or(1.0, |(_, f)| *f);
+        self.options.service.mul_f64(factor / warmth)
+    }
+
+    fn free(&self) -> usize {
+        self.slots.available_permits()
+    }
+
+    fn running(&self) -> usize {
+        self.options.slots.saturating_sub(self.free())
     }
 }
 
@@ -174,13 +205,16 @@
         let Ok(body) = body.collect().await else { return answer(400, "") };
         return lease(&shared, rest, token, &body.to_bytes());
     }
+    if matches!(path.as_str(), "/health" | "/status/load") && shared.options.reports == Reports::Probes {
+        let (queue, free, running) = (shared.waiting.get(), shared.free(), shared.running());
+        return answer(200, format!("TEXT inflight={}, queue={queue}, x0={free}", running + queue));
+    }
     let Some(request) = text("req-id").filter(|_| head.method == Method::POST) else {
         return answer(404, "");
     };
     let leased = text("lease-id").filter(|_| token.is_some());
+    let told_ms = text("req-deadline-ms").and_then(|t| t.parse().ok());
     let (at, lease) = (now_us(), leased.clone());
-    let arrive =
-        |ran| shared.arrivals.borrow_mut().push(Arrival { at, request: request.clone(), lease, ran });
     let declined = || {
         let mut response = answer(503, "");
         response.headers_mut().insert("srv-declined", hyper::header::HeaderValue::from_static("1"));
@@ -189,8 +223,11 @@
     if body.collect().await.is_err() {
         return answer(400, "");
     }
-    if shared.slots.available_permits() == 0 && shared.waiting.get() >= shared.options.queue {
-        arrive(false);
+    // Noted as it comes: who gives it up while it waits has sent it all the same.
+    let came = shared.arrivals.borrow().len();
+    let arrival = Arrival { at, request: request.clone(), lease, told_ms, ran: false };
+    shared.arrivals.borrow_mut().push(arrival);
+    if shared.free() == 0 && shared.waiting.get() >= shared.options.queue {
         return declined();
     }
     shared.waiting.set(shared.waiting.get() + 1);
@@ -204,7 +241,7 @@
         Some(token) => shared.ledger.borrow_mut().start(&id, token).unwrap_or(false),
         None => true,
     };
-    arrive(may);
+    shared.arrivals.borrow_mut()[came].ran = may;
     if !may {
         return declined();
     }
@@ -216,20 +253,32 @@
         let mut life = worker.life.subscribe();
         let line =
             |rest: &str| Bytes::from(format!("{{\"id\":\"{request}\",\"from\":\"s\",\"state\":{rest}}}\n"));
+        let class = path.split('/').nth(1).unwrap_or("").to_owned();
         let run = async {
-            let mut left = worker.service();
-            _ = to.send_data(line("\"started\"")).await;
+            let mut left = worker.service(&class);
+            if worker.options.tells_start {
+                _ = to.send_data(line("\"started\"")).await;
+            }
             while left > PROGRESS {
                 sleep(PROGRESS).await;
                 left -= PROGRESS;
-                _ = to.send_data(line("\"running\"")).await;
+                if worker.options.tells_start {
+                    _ = to.send_data(line("\"running\"")).await;
+                }
             }
             sleep(left).await;
             let result = format!("made {id}");
             if token.is_some() && worker.ledger.borrow_mut().done(&id, &result).is_err() {
                 return;
             }
-            _ = to.send_data(line(&format!("\"done\",\"result\":\"{result}\""))).await;
+            let load = match worker.options.reports {
+                Reports::Answers => {
+                    let (queue, free, running) = (worker.waiting.get(), worker.free(), worker.running());
+                    format!(r#","load":{{"inflight":{},"queue":{queue},"x0":{free}}}"#, running + queue)
+                }
+                Reports::None | Reports::Probes => String::new(),
+            };
+            _ = to.send_data(line(&format!("\"done\",\"result\":\"{result}\"{load}"))).await;
         };
         tokio::select! {
             () = run => {}
--- a/crates/trials/src/checks.rs
+++ b/crates/trials/src/checks/mod.rs
@@ -3,11 +3,19 @@
 //! Each check tells every breach with its node and time. A check must never know which faults were played
 //! beyond what stands in the history.
 
+mod drains;
+mod shares;
+
 use std::collections::BTreeMap;
 
 use oakshed_standin::fleet::{Arrival, Call, Outcome};
 
 use crate::history::{End, Request, Span};
+pub use drains::{drained_in_time, told_after_reload, told_in_time};
+pub use shares::{
+    failed_unsent, left_unanswered, no_class_starved, refused, times_told, turned_all_away, ANSWER_SLACK,
+    AWAY_FOR, AWAY_LEAST, TOLD_SLACK,
+};
 
 /// A scheduler, as its checkers see it.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +32,8 @@
     pub told: Vec<(u64, u64)>,
     /// When it could not reach discovery, or not be answered.
     pub cut_off: Vec<Span>,
+    /// When it was told to move to another discovery (SIGHUP).
+    pub reloads: Vec<u64>,
 }
 
 impl SchedulerFacts {
@@ -43,6 +53,8 @@
 pub struct WorkerFacts {
     /// Its name.
     pub name: String,
+    /// The zone and the cell in which repeats of a request are dropped.
+    pub place: (String, u64),
     /// What came to it.
     pub arrivals: Vec<Arrival>,
     /// When connections to it were opened.
@@ -69,6 +81,30 @@
     pub requests: Vec<Request>,
     /// Discovery's calls.
     pub calls: Vec<Call>,
+    /// The classes of requests.
+    pub classes: Vec<ClassFacts>,
+    /// The list is pushed: what the agent has counts as told, whether or not a watch is open.
+    pub pushed: bool,
+}
+
+/// A class, as the checkers see it.
+#[derive(Clone, Debug, Default)]
+pub struct ClassFacts {
+    /// Its name.
+    pub name: String,
+    /// Where repeats of a request are dropped, and for how long from its first run, in microseconds.
+    pub repeats: Option<(Group, u64)>,
+}
+
+/// The workers that drop repeats of one another's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All.
+    All,
+    /// Those of a zone.
+    Zone,
+    /// Those of a cell.
+    Cell,
 }
 
 /// What was broken.
@@ -87,6 +123,10 @@
 /// Whatever happens to calls and watches, a change counts as told so long after discovery had it and could be
 /// reached, in microseconds.
 pub const TOLD_ANYWAY: u64 = 6_000_000;
+/// After a reload (SIGHUP) what a pushed list has counts as told so much later, in microseconds.
+pub const AFTER_RELOAD: u64 = 4_000_000;
+/// What is on its way as the window for repeats ends, in microseconds.
+pub const REPEAT_SLACK: u64 = 50_000;
 /// So long after its client has left no attempt of a request begins, in microseconds: 0.1 s. The rest is for
 /// a machine that is busy with other tests, on which what began in time came up to 0.5 s late; who waits, or
 /// is tried again, for a client that has gone is in the way for longer. The 0.1 s themselves are held by
@@ -123,78 +163,51 @@
 /// has its answer. Guards against a connection kept from an earlier life: what is written into it is taken by
 /// nobody.
 pub fn all_answered(facts: &Facts) -> Vec<Breach> {
-    let mut breaches = Vec::new();
-    for request in facts.requests.iter().filter(|r| matches!(r.end, End::Broken | End::Silence)) {
-        let scheduler = &facts.schedulers[request.scheduler];
-        let listened = |since: u64| scheduler.listens.iter().any(|at| (since..=request.dialled).contains(at));
-        let mut lives = scheduler.lives.iter();
-        let lived = lives.any(|l| listened(l.from) && l.to.is_none_or(|to| to > request.ended));
-        let stopped = scheduler.stops.iter().any(|s| s.meets(request.sent, request.ended));
-        if lived && !stopped {
-            let what = format!("{} had no answer: {:?}", request.id, request.end);
-            breaches.push(Breach { at: request.ended, node: scheduler.name.clone(), what });
-        }
-    }
-    breaches
+    let unanswered = facts.requests.iter().filter(|r| matches!(r.end, End::Broken | End::Silence));
+    let breach = |request: &Request| Breach {
+        at: request.ended,
+        node: facts.schedulers[request.scheduler].name.clone(),
+        what: format!("{} had no answer: {:?}", request.id, request.end),
+    };
+    unanswered.filter(|request| owed(facts, request)).map(breach).collect()
 }
 
-/// A drained or gone worker gets nothing new later than the slack after its scheduler was told. A scheduler
-/// that was stopped in that time is given its slack from when it was continued.
-pub fn drained_in_time(facts: &Facts) -> Vec<Breach> {
-    let senders: BTreeMap<&str, usize> =
-        facts.requests.iter().map(|r| (r.id.as_str(), r.scheduler)).collect();
-    let mut breaches = Vec::new();
-    for worker in facts.workers.iter().filter(|w| !w.drains.is_empty()) {
-        for arrival in &worker.arrivals {
-            let Some(scheduler) = senders.get(arrival.request.as_str()).map(|&s| &facts.schedulers[s]) else {
-                continue;
-            };
-            let mut lives = scheduler.lives.iter();
-            let Some(life) = lives.find(|l| l.meets(arrival.at, arrival.at)) else { continue };
-            let told = scheduler.told.iter().filter(|(at, _)| life.from <= *at && *at <= arrival.at);
-            // The list that it held, and since when it said so without a break.
-            let Some(&(_, held)) = told.clone().max_by_key(|(at, number)| (*at, *number)) else { continue };
-            let covers = |number: u64, drain: &(u64, Option<u64>)| {
-                number >= drain.0 && drain.1.is_none_or(|ready| number < ready)
-            };
-            let Some(drain) = worker.drains.iter().find(|d| covers(held, d)) else { continue };
-            let first =
-                told.filter(|(_, n)| covers(*n, drain)).map(|(at, _)| *at).min().unwrap_or(arrival.at);
-            let stops = scheduler.stops.iter().filter(|s| s.meets(first, arrival.at));
-            let from = stops.filter_map(|s| s.to).fold(first, u64::max);
-            if arrival.at > from + DRAIN_SLACK {
-                let late = (arrival.at - from) / 1_000;
-                let (name, number) = (&scheduler.name, drain.0);
-                let what =
-                    format!("{} from {name} {late} ms after it was told (list {number})", arrival.request);
-                breaches.push(Breach { at: arrival.at, node: worker.name.clone(), what });
-            }
-        }
-    }
-    breaches
+/// Whether its scheduler owes a request its answer: see [`all_answered`].
+fn owed(facts: &Facts, request: &Request) -> bool {
+    let scheduler = &facts.schedulers[request.scheduler];
+    let listened = |since: u64| scheduler.listens.iter().any(|at| (since..=request.dialled).contains(at));
+    let mut lives = scheduler.lives.iter();
+    let lived = lives.any(|l| listened(l.from) && l.to.is_none_or(|to| to > request.ended));
+    lived && !scheduler.stops.iter().any(|s| s.meets(request.sent, request.ended))
 }
 
-/// No scheduler sends a worker anything new later than the slack after a drain counts as told: 6 s after
-/// discovery had it and could be reached, whether or not anything came. Its clock begins anew with its life,
-/// with the end of a stop, and with each end of a time in which it was cut off.
-pub fn told_in_time(facts: &Facts) -> Vec<Breach> {
-    let senders: BTreeMap<&str, usize> =
-        facts.requests.iter().map(|r| (r.id.as_str(), r.scheduler)).collect();
-    let mut breaches = Vec::new();
+/// Once a request of a class whose repeats are dropped has run, further runs are in the same group only, and
+/// within the time for which these remember it.
+pub fn repeats_in_group(facts: &Facts) -> Vec<Breach> {
+    let class_of: BTreeMap<&str, usize> = facts.requests.iter().map(|r| (r.id.as_str(), r.class)).collect();
+    let mut runs: BTreeMap<&str, Vec<(u64, &WorkerFacts)>> = BTreeMap::new();
     for worker in &facts.workers {
-        for arrival in &worker.arrivals {
-            let Some(drain) = worker.drained.iter().rev().find(|d| d.meets(arrival.at, arrival.at)) else {
-                continue;
-            };
-            let scheduler = senders.get(arrival.request.as_str()).map(|&s| &facts.schedulers[s]);
-            let Some(since) = scheduler.and_then(|s| s.since(drain.from, arrival.at)) else { continue };
-            if arrival.at > since + TOLD_ANYWAY + DRAIN_SLACK {
-                let (id, late) = (&arrival.request, (arrival.at - since) / 1_000);
-                let what = format!("{id} {late} ms after discovery had its drain and could be reached");
-                breaches.push(Breach { at: arrival.at, node: worker.name.clone(), what });
-            }
+        for arrival in worker.arrivals.iter().filter(|a| a.ran && a.lease.is_none()) {
+            runs.entry(&arrival.request).or_default().push((arrival.at, worker));
         }
     }
+    let mut breaches = Vec::new();
+    for (id, mut runs) in runs {
+        let class = class_of.get(id).and_then(|&class| facts.classes.get(class));
+        let Some((group, window)) = class.and_then(|class| class.repeats) else { continue };
+        runs.sort_by_key(|(at, _)| *at);
+        let (first, at) = (&runs[0].1.place, runs[0].0);
+        let same = |place: &(String, u64)| match group {
+            Group::All => true,
+            Group::Zone => place.0 == first.0,
+            Group::Cell => place.1 == first.1,
+        };
+        let wrong = runs.iter().find(|(again, w)| !same(&w.place) || *again > at + window + REPEAT_SLACK);
+        breaches.extend(wrong.map(|(again, w)| {
+            let what = format!("{id} ran {} ms after {}, in {group:?}", (again - at) / 1_000, runs[0].1.name);
+            Breach { at: *again, node: w.name.clone(), what }
+        }));
+    }
     breaches
 }
 
@@ -255,7 +268,7 @@
 
 /// What a cold worker may get: in any time of `fall` (seconds) at most N + 2 x root of N + 2 jobs, N being the
 /// multiple of its present capacity.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRule {
     /// The share of its capacity with which it starts.
     pub cold_share: f64,
--- a/crates/trials/src/history.rs
+++ b/crates/trials/src/history.rs
@@ -32,8 +32,12 @@
     pub id: String,
     /// The scheduler that it was sent to.
     pub scheduler: usize,
+    /// Its class, by its number in the settings.
+    pub class: usize,
     /// It may run at most once.
     pub once: bool,
+    /// How long its client waits, in microseconds.
+    pub patience: u64,
     /// When it was sent.
     pub sent: u64,
     /// When the connection that it was sent on was dialled.
--- a/crates/trials/src/load.rs
+++ b/crates/trials/src/load.rs
@@ -18,7 +18,7 @@
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 use crate::history::{self, End, History};
-use crate::settings::{CLASSES, DEADLINE_MS};
+use crate::settings::{Class, Effect};
 use crate::world::World;
 
 /// How much longer than its deadline a client waits for an answer.
@@ -63,16 +63,19 @@
     }
 
     /// Sends a request, and tells its end and when its connection was dialled.
-    async fn send(&self, class: &str, id: &str) -> (End, u64) {
+    async fn send(&self, class: &Class, id: &str) -> (End, u64) {
         let dialled = Cell::new(now_us());
         let request = || {
-            let request = Request::post(format!("/{class}"))
+            let mut request = Request::post(format!("/{}", class.name))
                 .header("Host", "backend.local")
                 .header("Req-Id", id)
-                .header("Req-Kind", class)
+                .header("Req-Kind", class.name)
                 .header("Req-Owner", "storholt-bilar")
-                .header("Req-Deadline-Ms", DEADLINE_MS)
+                .header("Req-Deadline-Ms", class.deadline_ms)
                 .header("Req-Extra", "slots=1");
+            if matches!(class.effect, Effect::Guarded(..)) {
+                request = request.header("Idempotency-Key", id);
+            }
             request.body(Full::from("body")).expect("a request")
         };
         let answer = async {
@@ -99,7 +102,7 @@
             }
             End::Unsent
         };
-        let limit = Duration::from_millis(DEADLINE_MS) + BEYOND;
+        let limit = Duration::from_millis(class.deadline_ms) + BEYOND;
         let end = timeout(limit, answer).await.unwrap_or(End::Silence);
         (end, dialled.get())
     }
@@ -107,6 +110,7 @@
 
 struct Shared {
     history: History,
+    classes: Vec<Class>,
     pools: Vec<Pool>,
     /// Clients come again with the same id until they have an answer that is final.
     insists: bool,
@@ -141,6 +145,7 @@
         let pool = |s: &crate::scheduler::Scheduler| Pool { front: s.front, idle: RefCell::default() };
         let shared = Rc::new(Shared {
             history: world.history.clone(),
+            classes: world.setup.deployment.classes.clone(),
             pools: world.schedulers.iter().map(pool).collect(),
             insists,
             leave,
@@ -151,17 +156,20 @@
         let load = Load(shared.clone());
         tokio::task::spawn_local(async move {
             let mut rng = fastrand::Rng::with_seed(seed);
+            let all: u32 = shared.classes.iter().map(|c| c.weight).sum();
             let mut pace = interval(Duration::from_secs_f64(1.0 / per_second));
             pace.set_missed_tick_behavior(MissedTickBehavior::Burst);
             while !shared.stop.get() {
                 pace.tick().await;
                 let (n, scheduler) = (shared.sent.get(), rng.usize(..shared.pools.len()));
-                let (class, once) = CLASSES[usize::from(rng.u8(..4) == 0)];
+                let mut drawn = rng.u32(..all);
+                let mine = |c: &Class| drawn < c.weight || (drawn -= c.weight, false).1;
+                let class = shared.classes.iter().position(mine).expect("one of them");
                 if shared.under_way.get() < MOST {
                     shared.sent.set(n + 1);
                     shared.under_way.set(shared.under_way.get() + 1);
                     let goes = (shared.leave && n % LEAVES == 0).then_some(LEAVES_AFTER);
-                    let job = one(shared.clone(), scheduler, format!("{seed:x}-{n}"), class, once, goes);
+                    let job = one(shared.clone(), scheduler, format!("{seed:x}-{n}"), class, goes);
                     tokio::task::spawn_local(job);
                 }
             }
@@ -183,24 +191,30 @@
     }
 }
 
-async fn one(
-    shared: Rc<Shared>,
-    scheduler: usize,
-    id: String,
-    class: &'static str,
-    once: bool,
-    goes: Option<Duration>,
-) {
+async fn one(shared: Rc<Shared>, scheduler: usize, id: String, class: usize, goes: Option<Duration>) {
     let sent = now_us();
-    let answer = shared.pools[scheduler].send(class, &id);
+    let kind = &shared.classes[class];
+    let answer = shared.pools[scheduler].send(kind, &id);
     let (mut end, mut dialled) = match goes {
         Some(after) => timeout(after, answer).await.unwrap_or((End::Left, sent)),
         None => answer.await,
     };
     while shared.insists && !matches!(end, End::Answer(200 | 502)) && now_us() < sent + INSISTS {
         sleep(AGAIN).await;
-        (end, dialled) = shared.pools[scheduler].send(class, &id).await;
+        (end, dialled) = shared.pools[scheduler].send(kind, &id).await;
     }
-    shared.history.ended(history::Request { id, scheduler, once, sent, dialled, ended: now_us(), end });
+    let patience = if shared.insists { INSISTS } else { kind.deadline_ms * 1_000 };
+    let (once, ended) = (kind.effect == Effect::Once, now_us());
+    shared.history.ended(history::Request {
+        id,
+        scheduler,
+        class,
+        once,
+        patience,
+        sent,
+        dialled,
+        ended,
+        end,
+    });
     shared.under_way.set(shared.under_way.get() - 1);
 }
--- a/crates/trials/src/plays/cold.rs
+++ b/crates/trials/src/plays/cold.rs
@@ -68,7 +68,7 @@
     if each(counts.whole) > MOST_WHOLE {
         broken.push(format!("{:.2} whole lists asked a scheduler; at most {MOST_WHOLE}", each(counts.whole)));
     }
-    Ok(Told { figures, broken })
+    Ok(Told { figures, broken, room: false })
 }
 
 /// How a worker is whose service returns: 25 jobs a second when warm.
@@ -130,5 +130,5 @@
     ];
     let few = (share < LEAST_SERVED)
         .then(|| format!("{share:.3} served from second 5 on; at least {LEAST_SERVED}"));
-    Ok(Told { figures, broken: few.into_iter().collect() })
+    Ok(Told { figures, broken: few.into_iter().collect(), room: false })
 }
--- a/crates/trials/src/plays/discovery.rs
+++ b/crates/trials/src/plays/discovery.rs
@@ -68,7 +68,7 @@
             "{too_late} schedulers have the drain later than {TOLD_ANYWAY:?} after the silence"
         ));
     }
-    Ok(Told { figures, broken })
+    Ok(Told { figures, broken, room: false })
 }
 
 /// Waits until each scheduler has a watch open on the present list.
@@ -119,5 +119,5 @@
         answers(&facts),
     ];
     let heard = (heard > 0).then(|| format!("{heard} that were cut off have heard: the cut does not cut"));
-    Ok(Told { figures, broken: heard.into_iter().collect() })
+    Ok(Told { figures, broken: heard.into_iter().collect(), room: false })
 }
--- a/crates/trials/src/plays/mixed.rs
+++ b/crates/trials/src/plays/mixed.rs
@@ -47,7 +47,7 @@
     let well =
         again.as_ref().map(|took| format!("all is well {:.3?} after the last", *took)).unwrap_or_default();
     let figures = vec![format!("{schedulers} schedulers, {played} steps; {well}"), answers(&facts)];
-    Ok(Told { figures, broken: again.err().into_iter().collect() })
+    Ok(Told { figures, broken: again.err().into_iter().collect(), room: false })
 }
 
 async fn act(world: &mut World, fault: Fault) -> Result<(), String> {
--- a/crates/trials/src/plays/mod.rs
+++ b/crates/trials/src/plays/mod.rs
@@ -5,6 +5,7 @@
 
 mod cold;
 mod discovery;
+mod drawn;
 mod mixed;
 mod processes;
 
@@ -13,12 +14,11 @@
 use oakshed_timeline::Style;
 use tokio::signal::unix::{signal, SignalKind};
 
-use crate::checks::{self, Breach, ColdRule, Facts};
+use crate::checks::{self, Breach, Facts};
 use crate::history::{now, End};
 use crate::load::Load;
 use crate::picture;
 use crate::scheduler::Known;
-use crate::settings::{COLD_SHARE, FALL_MS, FALL_MULTIPLE, RAMP_MS};
 use crate::world::{block_on, World};
 
 /// What a trial is played with.
@@ -55,7 +55,7 @@
 }
 
 /// All trials.
-pub const ALL: [Play; 8] = [
+pub const ALL: [Play; 9] = [
     named(
         "cold-start",
         "all start at once without a list; discovery serves in turn, 20 ms a call, and refuses after 3 s",
@@ -78,6 +78,10 @@
         "durable-kills",
         "schedulers with durable jobs are killed, and start with a known list and without",
     ),
+    named(
+        "drawn",
+        "settings drawn from the seed: classes, times, list form, reports, sizes; drains, kills, a reload, refused calls",
+    ),
     named("mixed", "sixteen faults of all kinds drawn from the seed: processes, ways, discovery, workers"),
 ];
 
@@ -117,6 +121,8 @@
 struct Told {
     figures: Vec<String>,
     broken: Vec<String>,
+    /// There was room for all that was asked.
+    room: bool,
 }
 
 async fn by_name(name: &str, options: Options) -> Result<Report, String> {
@@ -128,6 +134,7 @@
         "third-killed" => processes::setup_killed(options),
         "durable-kills" => processes::setup_durable(options),
         "mixed" => mixed::setup(options),
+        "drawn" => drawn::setup(options),
         _ => return Err(format!("no trial is called {name}; `oakshed-trials list` tells them")),
     };
     let mut world = World::new(setup).await.map_err(|e| e.to_string())?;
@@ -139,10 +146,11 @@
         "stopped" => processes::stopped(&mut world).await,
         "third-killed" => processes::killed(&mut world).await,
         "durable-kills" => processes::durable(&mut world).await,
+        "drawn" => drawn::drawn(&mut world).await,
         _ => mixed::mixed(&mut world).await,
     };
     // What never came is a breach too, and is read from the same timeline.
-    let told = outcome.unwrap_or_else(|why| Told { figures: Vec::new(), broken: vec![why] });
+    let told = outcome.unwrap_or_else(|why| Told { broken: vec![why], ..Told::default() });
     Ok(judge(&world, told))
 }
 
@@ -183,14 +191,8 @@
 
 /// Judges what was played by the checks that hold for every trial, and by the trial's own.
 fn judge(world: &World, told: Told) -> Report {
-    let Told { figures, mut broken } = told;
+    let Told { figures, mut broken, room } = told;
     let facts = world.facts();
-    let cold = ColdRule {
-        cold_share: COLD_SHARE,
-        ramp: RAMP_MS as f64 / 1e3,
-        multiple: FALL_MULTIPLE,
-        fall: FALL_MS as f64 / 1e3,
-    };
     let lines = |(rule, breaches): (&str, Vec<Breach>)| -> Vec<String> {
         let line = |b: &Breach| {
             let at = b.at.saturating_sub(world.began) as f64 / 1e6;
@@ -200,15 +202,26 @@
         let more = (more > 0).then(|| format!("{rule}: {more} more"));
         breaches.iter().take(MOST_TOLD).map(line).chain(more).collect()
     };
-    let rules = [
+    let mut rules = vec![
         ("runs once", checks::nothing_runs_twice(&facts)),
         ("answered", checks::all_answered(&facts)),
         ("drained", checks::drained_in_time(&facts)),
         ("told", checks::told_in_time(&facts)),
         ("left", checks::nothing_for_who_left(&facts)),
         ("restarted", checks::restarted_in_time(&facts, now())),
-        ("cold", checks::cold_budgets(&facts, cold)),
+        ("cold", checks::cold_budgets(&facts, world.setup.deployment.cold)),
+        ("reload", checks::told_after_reload(&facts)),
+        ("group", checks::repeats_in_group(&facts)),
+        ("unanswered", checks::left_unanswered(&facts)),
+        ("time told", checks::times_told(&facts)),
+        // Of durable jobs workers see the job's name, not the request's.
+        ("failed unsent", if world.setup.durable { Vec::new() } else { checks::failed_unsent(&facts) }),
     ];
+    if room {
+        // Terms of days on which there is room for all.
+        rules.push(("turned away", checks::turned_all_away(&facts)));
+        rules.push(("starved", checks::no_class_starved(&facts)));
+    }
     broken.extend(rules.into_iter().flat_map(lines));
     broken.extend(picture::order(world).into_iter().map(|wrong| format!("order: {wrong}")));
     let timeline = picture::timeline(world).draw(&Style::default());
--- a/crates/trials/src/plays/processes.rs
+++ b/crates/trials/src/plays/processes.rs
@@ -47,7 +47,7 @@
         answers(&facts),
     ];
     let early = early.then(|| "the stopped one has heard: the stop does not stop".to_owned());
-    Ok(Told { figures, broken: early.into_iter().collect() })
+    Ok(Told { figures, broken: early.into_iter().collect(), room: false })
 }
 
 /// A third is killed at once under load and started again with the list that it held.
@@ -76,7 +76,7 @@
     calm(world, 150, &load).await?;
     load.end().await;
     figures.push(answers(&world.facts()));
-    Ok(Told { figures, broken: Vec::new() })
+    Ok(Told { figures, broken: Vec::new(), room: false })
 }
 
 /// Schedulers with durable jobs are killed under load and started again, in turn with the list that they held
@@ -105,5 +105,5 @@
     // Clients that come again until then get an answer that is final.
     let open = facts.requests.iter().filter(|r| !matches!(r.end, End::Answer(200 | 502)));
     let broken = open.map(|r| format!("{} has no final answer: {:?}", r.id, r.end)).collect();
-    Ok(Told { figures, broken })
+    Ok(Told { figures, broken, room: false })
 }
--- a/crates/trials/src/scheduler.rs
+++ b/crates/trials/src/scheduler.rs
@@ -32,6 +32,7 @@
     pub(crate) process: Option<Process>,
     pub(crate) lives: Vec<Span>,
     pub(crate) stops: Vec<Span>,
+    pub(crate) reloads: Vec<u64>,
     pub(crate) log: Log,
 }
 
--- a/crates/trials/src/world.rs
+++ b/crates/trials/src/world/mod.rs
@@ -3,6 +3,9 @@
 //! It owns what is started and ends it when dropped. Whoever plays says when; it must never wait for a
 //! moment, only for conditions with a limit.
 
+mod changes;
+mod facts;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -12,17 +15,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use oakshed_standin::fleet::{now_us, FleetDiscovery, FleetWorker, FleetWorkerOptions};
+use oakshed_standin::fleet::{now_us, FleetDiscovery, FleetWorker, FleetWorkerOptions, Placed};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit, Signal};
 use serde_json::{json, Value};
 use tokio::time::{sleep, Instant};
 
-use crate::checks::{Facts, SchedulerFacts, WorkerFacts};
 use crate::history::{History, Span};
 use crate::process::{Log, Process, Start};
-use crate::relays::{own_addresses, Faults, Relays};
+use crate::relays::{own_addresses, Relays};
 use crate::scheduler::{Known, Scheduler};
-use crate::settings::settings;
+use crate::settings::Deployment;
 use crate::watchdog::{Watchdog, FOLDERS};
 
 /// The name under which clients stand in relays and timelines.
@@ -47,6 +49,8 @@
     pub durable: bool,
     /// The seed of all chances.
     pub seed: u64,
+    /// The settings.
+    pub deployment: Deployment,
 }
 
 impl Setup {
@@ -54,7 +58,8 @@
     pub fn new(schedulers: usize, workers: usize, seed: u64) -> Setup {
         let worker = FleetWorkerOptions::default();
         let (relay_workers, durable) = (true, false);
-        Setup { schedulers, balancers: schedulers, workers, worker, relay_workers, durable, seed }
+        let deployment = Deployment::default();
+        Setup { schedulers, balancers: schedulers, workers, worker, relay_workers, durable, seed, deployment }
     }
 }
 
@@ -127,8 +132,19 @@
             let front = relays.tcp(CLIENTS, &name, listen).await?;
             let discovery = relays.tcp(&name, DISCOVERY, discovery.listen(n, others).await?).await?;
             let (held, process, log) = (None, None, Log::default());
-            let (lives, stops) = (Vec::new(), Vec::new());
-            schedulers.push(Scheduler { name, listen, front, discovery, held, process, lives, stops, log });
+            let (lives, stops, reloads) = (Vec::new(), Vec::new(), Vec::new());
+            schedulers.push(Scheduler {
+                name,
+                listen,
+                front,
+                discovery,
+                held,
+                process,
+                lives,
+                stops,
+                reloads,
+                log,
+            });
         }
         drop(held);
         let mut workers = Vec::new();
@@ -148,11 +164,13 @@
             }
             workers.push((name, worker));
         }
+        discovery.form(setup.deployment.form);
         discovery.change(|list| {
-            for (name, worker) in &workers {
+            for (n, (name, worker)) in workers.iter().enumerate() {
                 // Leases go with the memory, which began just now; else they have long been there.
                 let started_ms = if setup.durable { worker.since_ms() } else { 0 };
-                let placed = oakshed_standin::fleet::Placed { lifecycle: "ready", started_ms, since: 0 };
+                let place = setup.deployment.place(n);
+                let placed = Placed { lifecycle: "ready", started_ms, since: 0, place, weight: 1.0 };
                 list.insert(name.clone(), placed);
             }
         });
@@ -196,7 +214,7 @@
         let text = json!({
             "name": scheduler.name, "seed": format!("{:016x}", self.rng.u64(..)), "known": known,
             "limits": { "cores": 1.0, "memory_mb": 192, "sockets": 1024 },
-            "settings": settings(self.setup.balancers),
+            "settings": self.setup.deployment.settings(s, self.setup.balancers),
         });
         std::fs::write(&config, text.to_string())?;
         let operator = self.folder.0.join(format!("{}.operator", scheduler.name));
@@ -287,51 +305,6 @@
         self.schedulers[s].process.is_some()
     }
 
-    /// Drains a worker; tells the list's number.
-    pub fn drain(&mut self, w: usize) -> u64 {
-        let name = self.workers[w].0.clone();
-        let number = self.discovery.lifecycle(&name, "draining");
-        self.history.note(DISCOVERY, format!("{number}: drain {name}"));
-        self.drained.entry(name.clone()).or_default().push(Span { from: now_us(), to: None });
-        self.drains.entry(name).or_default().push((number, None));
-        number
-    }
-
-    /// Lets a worker be used again; tells the list's number.
-    pub fn undrain(&mut self, w: usize) -> u64 {
-        let name = self.workers[w].0.clone();
-        let number = self.discovery.lifecycle(&name, "ready");
-        self.history.note(DISCOVERY, format!("{number}: ready {name}"));
-        let drained = self.drained.entry(name.clone()).or_default();
-        drained.last_mut().into_iter().for_each(|d| d.to = Some(now_us()));
-        self.drains.entry(name).or_default().last_mut().into_iter().for_each(|d| d.1 = Some(number));
-        number
-    }
-
-    /// Discovery is down, or up again.
-    pub fn down(&mut self, down: bool) {
-        self.history.note(DISCOVERY, if down { "down" } else { "up" });
-        Span::note(&mut self.down, down);
-        self.discovery.down(down);
-    }
-
-    /// What lies between a scheduler and discovery is so from now on.
-    pub fn to_discovery(&mut self, s: usize, faults: Faults) {
-        Span::note(self.cut_off.entry(s).or_default(), faults != Faults::none());
-        self.relays.set(&self.schedulers[s].name, DISCOVERY, faults);
-    }
-
-    /// Starts a worker anew, cold, and tells discovery; `step` is how far the clock of its start is off.
-    pub fn restart_worker(&mut self, w: usize, step: Duration) -> u64 {
-        let (name, worker) = &self.workers[w];
-        let started = worker.restart() + step.as_millis() as u64;
-        let number = self.discovery.set(name, "ready", started);
-        self.history.note(name, "starts cold");
-        self.history.note(DISCOVERY, format!("{number}: new {name}"));
-        self.starts.entry(name.clone()).or_default().push(now_us());
-        number
-    }
-
     /// Waits until something holds.
     ///
     /// # Errors
@@ -351,35 +324,6 @@
         }
         Ok(start.elapsed())
     }
-
-    /// What the checkers read.
-    pub fn facts(&self) -> Facts {
-        let scheduler = |(n, s): (usize, &Scheduler)| SchedulerFacts {
-            name: s.name.clone(),
-            lives: s.lives.clone(),
-            listens: s.listens(),
-            stops: s.stops.clone(),
-            told: s.told(),
-            cut_off: self.cut_off.get(&n).into_iter().flatten().chain(&self.down).copied().collect(),
-        };
-        let options = &self.setup.worker;
-        let jobs_per_second = options.slots as f64 / options.service.as_secs_f64();
-        let worker = |(name, worker): &(String, FleetWorker)| WorkerFacts {
-            name: name.clone(),
-            arrivals: worker.arrivals(),
-            opened: worker.opened(),
-            jobs_per_second,
-            drains: self.drains.get(name).cloned().unwrap_or_default(),
-            drained: self.drained.get(name).cloned().unwrap_or_default(),
-            starts: self.starts.get(name).cloned().unwrap_or_default(),
-        };
-        Facts {
-            schedulers: self.schedulers.iter().enumerate().map(scheduler).collect(),
-            workers: self.workers.iter().map(worker).collect(),
-            requests: self.history.record().requests,
-            calls: self.discovery.calls(),
-        }
-    }
 }
 
 /// Runs something in a thread's own runtime, as a trial needs it.
--- a/crates/trials/tests/checks.rs
+++ b/crates/trials/tests/checks.rs
@@ -7,11 +7,12 @@
 const S: u64 = 1_000_000;
 
 fn request(id: &str, sent: u64, ended: u64, end: End) -> Request {
-    Request { id: id.into(), scheduler: 0, once: true, sent, dialled: sent, ended, end }
+    let patience = 5 * S;
+    Request { id: id.into(), scheduler: 0, class: 0, once: true, patience, sent, dialled: sent, ended, end }
 }
 
 fn arrival(at: u64, request: &str) -> Arrival {
-    Arrival { at, request: request.into(), lease: None, ran: true }
+    Arrival { at, request: request.into(), lease: None, told_ms: None, ran: true }
 }
 
 /// A scheduler that lives from the first second on, and two workers.
--- a/crates/trials/tests/plays.rs
+++ b/crates/trials/tests/plays.rs
@@ -9,9 +9,16 @@
 /// One at a time: each has dozens of processes, and limits of seconds.
 static ALONE: Mutex<()> = Mutex::new(());
 
+/// The seeds of drawn deployments: pushed and asked-for lists, all effects and groups, each fault.
+const DRAWN: [u64; 3] = [1, 2, 3];
+
 fn holds(name: &str) {
-    let _alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
     let seed = std::env::var("OAKSHED_TRIAL_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    played(name, seed);
+}
+
+fn played(name: &str, seed: u64) {
+    let _alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
     let report =
         play(name, Options { seed, schedulers: None }, false).unwrap_or_else(|e| panic!("{name}: {e}"));
     report.figures.iter().for_each(|line| println!("{line}"));
@@ -48,6 +55,14 @@
     holds("durable-kills");
 }
 
+/// A deployment of its own for each seed: other classes, times, lists, reports and sizes.
+#[test]
+fn drawn_deployments_keep_every_term_and_starve_no_class() {
+    for seed in DRAWN {
+        played("drawn", seed);
+    }
+}
+
 #[test]
 fn faults_of_all_kinds_break_no_rule() {
     holds("mixed");
