Drawn trials: hang workers, and judge each span of 3 s for a starved class

It now judges each 3 s by itself. New fault: the workers of a zone (a third, where there is one) take jobs for 2.5 s and answer nothing. Ruled out: cuts between schedulers and workers in drawn trials, as what a relay holds looks late or unsent to the checks.

--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -99,6 +99,8 @@
     started: Cell<u64>,
     arrivals: RefCell<Vec<Arrival>>,
     opened: RefCell<Vec<u64>>,
+    /// It takes jobs, and neither runs nor answers them.
+    hangs: watch::Sender<bool>,
     life: watch::Sender<u64>,
 }
 
@@ -126,6 +128,7 @@
             started: Cell::new(0),
             arrivals: RefCell::default(),
             opened: RefCell::default(),
+            hangs: watch::Sender::new(false),
             life: watch::Sender::new(0),
         });
         let worker = FleetWorker { address, shared: shared.clone() };
@@ -156,6 +159,11 @@
         self.shared.started.get() / 1_000
     }
 
+    /// From now on it takes jobs and answers nothing, or goes on with what it has taken.
+    pub fn hang(&self, hangs: bool) {
+        self.shared.hangs.send_replace(hangs);
+    }
+
     /// When it started, in Unix time milliseconds; 0: long ago.
     pub fn started_ms(&self) -> u64 {
         self.shared.started.get() / 1_000
@@ -227,6 +235,7 @@
     let came = shared.arrivals.borrow().len();
     let arrival = Arrival { at, request: request.clone(), lease, told_ms, ran: false };
     shared.arrivals.borrow_mut().push(arrival);
+    _ = shared.hangs.subscribe().wait_for(|hangs| !hangs).await;
     if shared.free() == 0 && shared.waiting.get() >= shared.options.queue {
         return declined();
     }
--- a/crates/trials/src/checks/mod.rs
+++ b/crates/trials/src/checks/mod.rs
@@ -14,7 +14,7 @@
 pub use drains::{drained_in_time, told_after_reload, told_in_time};
 pub use shares::{
     failed_unsent, left_unanswered, no_class_starved, refused, times_told, turned_all_away, ANSWER_SLACK,
-    AWAY_FOR, AWAY_LEAST, TOLD_SLACK,
+    AWAY_FOR, AWAY_LEAST, STARVED_SPAN, TOLD_SLACK,
 };
 
 /// A scheduler, as its checkers see it.
--- a/crates/trials/src/checks/shares.rs
+++ b/crates/trials/src/checks/shares.rs
@@ -26,7 +26,9 @@
 /// One in so many requests may fail without an attempt that a worker saw: what is reset on its way is in doubt.
 const FAILED_ONE_IN: usize = 200;
 /// A class is judged from so many requests on, and gets at least this part of what the best served one gets.
-const STARVED: (usize, usize) = (20, 3);
+const STARVED: (usize, f64) = (12, 3.0);
+/// Over so long, in microseconds.
+pub const STARVED_SPAN: u64 = 3_000_000;
 
 /// What came to workers, by request, in the order of its times.
 fn attempts(facts: &Facts) -> BTreeMap<&str, Vec<(&Arrival, &str)>> {
@@ -151,22 +153,33 @@
     unsent
 }
 
-/// Where there is room for all, each class gets at least a third of what the best served one gets, by share.
+/// Where there is room for all, each class gets at least a third of what the best served one gets, by share, in each
+/// span of 3 s: one that is starved only as long as a trouble lasts is starved.
 pub fn no_class_starved(facts: &Facts) -> Vec<Breach> {
-    let share = |class: usize| {
-        let counts = |r: &&Request| r.class == class && !matches!(r.end, End::Left | End::Unsent);
-        let counted: Vec<&Request> =
-            facts.requests.iter().filter(counts).filter(|r| owed(facts, r)).collect();
-        let served = counted.iter().filter(|r| r.end == End::Answer(200)).count();
-        (counted.len() >= STARVED.0).then(|| (served as f64 / counted.len() as f64, counted.len()))
-    };
-    let shares: Vec<_> = (0..facts.classes.len()).map(share).collect();
-    let best = shares.iter().flatten().map(|(share, _)| *share).fold(0.0, f64::max);
-    let starved = |(class, share): (usize, Option<(f64, usize)>)| {
-        let (share, count) = share.filter(|(share, _)| share * (STARVED.1 as f64) < best)?;
-        let what = format!("{share:.3} of {count} served, where another class has {best:.3}");
-        let at = facts.requests.iter().filter(|r| r.class == class).map(|r| r.ended).max()?;
-        Some(Breach { at, node: facts.classes[class].name.clone(), what })
-    };
-    shares.into_iter().enumerate().filter_map(starved).collect()
+    let first = facts.requests.iter().map(|r| r.sent).min().unwrap_or(0);
+    // By span and class: how many were asked, and how many served.
+    let mut spans: BTreeMap<u64, Vec<(usize, usize)>> = BTreeMap::new();
+    let counts = |r: &&Request| !matches!(r.end, End::Left | End::Unsent) && owed(facts, r);
+    for request in facts.requests.iter().filter(counts) {
+        let span = (request.sent - first) / STARVED_SPAN;
+        let classes = spans.entry(span).or_insert_with(|| vec![(0, 0); facts.classes.len()]);
+        let (asked, served) = &mut classes[request.class];
+        *asked += 1;
+        *served += usize::from(request.end == End::Answer(200));
+    }
+    let mut breaches = Vec::new();
+    for (span, classes) in spans {
+        let share = |(asked, served): &(usize, usize)| *served as f64 / *asked as f64;
+        let judged = |class: &(usize, usize)| class.0 >= STARVED.0;
+        let best = classes.iter().filter(|c| judged(c)).map(share).fold(0.0, f64::max);
+        for (class, counted) in classes.iter().enumerate().filter(|(_, c)| judged(c)) {
+            if share(counted) * STARVED.1 < best {
+                let (share, asked) = (share(counted), counted.0);
+                let what = format!("{share:.3} of {asked} served in 3 s, where another class has {best:.3}");
+                let (at, node) = (first + span * STARVED_SPAN, facts.classes[class].name.clone());
+                breaches.push(Breach { at, node, what });
+            }
+        }
+    }
+    breaches
 }
--- a/crates/trials/src/plays/drawn.rs
+++ b/crates/trials/src/plays/drawn.rs
@@ -13,6 +13,8 @@
 
 /// Faults in one play.
 const FAULTS: usize = 3;
+/// How long workers hang.
+const HANGS: Duration = Duration::from_millis(2_500);
 /// Requests before, between and after them.
 const BETWEEN: usize = 60;
 
@@ -55,6 +57,8 @@
     Refused,
     /// A worker starts anew, cold.
     Cold,
+    /// The workers of a zone, or a third where there is one, take jobs and answer nothing for a while.
+    Hang,
 }
 
 pub(super) async fn drawn(world: &mut World) -> Result<Told, String> {
@@ -65,7 +69,7 @@
     world.start_all(known).map_err(|e| e.to_string())?;
     holds(world).await?;
     let load = Load::start(world, per_second, seed);
-    let mut faults = [Fault::Drain, Fault::Kill, Fault::Reload, Fault::Refused, Fault::Cold];
+    let mut faults = [Fault::Drain, Fault::Kill, Fault::Reload, Fault::Refused, Fault::Cold, Fault::Hang];
     world.rng.shuffle(&mut faults);
     for fault in &faults[..FAULTS] {
         calm(world, BETWEEN, &load).await?;
@@ -138,6 +142,18 @@
             world.undrain(w);
         }
         Fault::Cold => _ = world.restart_worker(w, Duration::ZERO),
+        Fault::Hang => {
+            let d = &world.setup.deployment;
+            let zone = d.zone(w);
+            let hung: Vec<usize> = match d.zones {
+                1 => (0..world.setup.workers).filter(|other| other % 3 == w % 3).collect(),
+                // Two halves leave room enough: no more than that is asked for.
+                _ => (0..world.setup.workers).filter(|other| d.zone(*other) == zone).collect(),
+            };
+            hung.iter().for_each(|&w| world.hang(w, true));
+            tokio::time::sleep(HANGS).await;
+            hung.iter().for_each(|&w| world.hang(w, false));
+        }
     }
     holds(world).await
 }
--- a/crates/trials/src/world/changes.rs
+++ b/crates/trials/src/world/changes.rs
@@ -80,4 +80,11 @@
         self.starts.entry(name.clone()).or_default().push(now_us());
         number
     }
+
+    /// A worker takes jobs and answers nothing from now on, or goes on.
+    pub fn hang(&self, w: usize, hangs: bool) {
+        let (name, worker) = &self.workers[w];
+        self.history.note(name, if hangs { "hangs" } else { "goes on" });
+        worker.hang(hangs);
+    }
 }
--- a/crates/trials/tests/plays.rs
+++ b/crates/trials/tests/plays.rs
@@ -10,7 +10,7 @@
 static ALONE: Mutex<()> = Mutex::new(());
 
 /// The seeds of drawn deployments: pushed and asked-for lists, all effects and groups, each fault.
-const DRAWN: [u64; 3] = [1, 2, 3];
+const DRAWN: [u64; 4] = [8, 11, 13, 14];
 
 fn holds(name: &str) {
     let seed = std::env::var("OAKSHED_TRIAL_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
--- a/crates/trials/tests/terms.rs
+++ b/crates/trials/tests/terms.rs
@@ -203,6 +203,19 @@
     let found = with([60, 19], 60, refused);
     assert_eq!((found.len(), found[0].node.as_str()), (1, "b"));
     assert_eq!(with([3, 1], 60, refused), [], "there is little for any");
-    assert_eq!(with([19, 0], 19, refused), [], "too few to judge by");
+    assert_eq!(
+        (with([11, 0], 11, refused).len(), with([12, 0], 12, refused).len()),
+        (0, 1),
+        "too few, and enough"
+    );
     assert_eq!(with([60, 10], 60, End::Left), [], "their clients went");
+    // In 3 s of 30, while it is well served in all.
+    let one = |n: usize| {
+        let (class, at) = (n % 2, n as u64 * 50 * MS);
+        let starved = class == 1 && (at / STARVED_SPAN) == 4;
+        Request { class, ..request(n, 2 * S + at, if starved { refused } else { End::Answer(200) }) }
+    };
+    let requests = (0..600).map(one).collect();
+    let found = no_class_starved(&Facts { requests, classes: classes.clone(), ..facts(1) });
+    assert_eq!((found.len(), found[0].at), (1, 2 * S + 4 * STARVED_SPAN));
 }
