Start the cap when there is a worker, and keep a job's room in it where more comes in

Cause, found by the merged tests: a cap that rests on work done alone came down to a quarter of a job where eight of ten workers were silent, and 5.4 s passed without an attempt (4 wanted); with far more schedulers than workers it began near none; and a first list of none, or of remembered workers to be confirmed, set it for good. Change: the floor is one slot where as much comes in, the start four at the least, and only once a worker is live.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -37,7 +37,7 @@
 const UNTOLD: f64 = 4.0;
 /// Slots by which the cap may lie over twice what is out: few jobs come in bursts of several times a mean.
 const CAP_ROOM: f64 = 4.0;
-/// The least cap in slots, where nothing was done lately. Keeps feedback coming, on any size of scheduler.
+/// The least cap in slots, where little comes in; where more does, one. Keeps feedback coming on any size.
 const CAP_LEAST: f64 = 0.25;
 /// Mean running times for which a worker's wait is believed: it passes, and is tried again. Where it is met
 /// less often than that, until it is met again, but no longer than troubles last.
@@ -397,7 +397,7 @@
     /// What was at work for it lately, whatever was learned: a few late starts tell little of the fleet. No
     /// part of what comes in: that may be more than all can do, repeats included, and queues outlive a blow.
     fn least_cap(&self) -> f64 {
-        self.at_work().max(CAP_LEAST)
+        self.at_work().max((self.coming.last * self.mean_run).clamp(CAP_LEAST, 1.0))
     }
 
     // ---- The pick ----
@@ -664,9 +664,9 @@
             }
         }
         self.refill_pools();
-        if self.cap == 0.0 {
+        if self.cap == 0.0 && !self.live.is_empty() {
             let part = (CAP_UNEVEN / f64::from(self.settings.dispatchers)).min(1.0);
-            self.cap = CAP_START * part * self.live.len() as f64;
+            self.cap = (CAP_START * part * self.live.len() as f64).max(CAP_ROOM);
         }
     }
 
