--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -238,8 +238,7 @@
         (-self.since(learned_at) / (WAIT_HOLDS * self.mean_run + met_again)).exp()
     }
 
-    /// Small jobs count for less: what a run costs whatever its size, such as a fetch, would else
-    /// make all of a class look several times as long as they are.
+    /// Small jobs count for less: what a run costs whatever its size would else make all look far longer.
     fn learn_run(&mut self, class: usize, w: usize, ran: f64, size: f64) {
         let (unit, weight) = (ran / size, size.min(1.0));
         let belief = &mut self.classes[class];
@@ -394,10 +393,11 @@
         self.cap = (self.cap - CAP_FALL * slots).max(self.least_cap());
     }
 
-    /// What was at work for it lately, whatever was learned: a few late starts tell little of the fleet. No
-    /// part of what comes in: that may be more than all can do, repeats included, and queues outlive a blow.
+    /// What was at work for it lately and its chance, if so much comes in, whatever was learned. No part of
+    /// what comes in alone: that may be more than all can do, repeats included, and queues outlive a blow.
     fn least_cap(&self) -> f64 {
-        self.at_work().max((self.coming.last * self.mean_run).clamp(CAP_LEAST, 1.0))
+        let (at_work, coming) = (self.at_work(), self.coming.last * self.mean_run);
+        at_work.max((at_work + at_work.sqrt()).min(coming)).max(coming.clamp(CAP_LEAST, 1.0))
     }
 
     // ---- The pick ----
