--- a/crates/core/tests/mechanism/weights.rs
+++ b/crates/core/tests/mechanism/weights.rs
@@ -44,16 +44,12 @@
     assert!((440..560).contains(&of), "{of} of 1,000, where weights hold nothing");
     // What is no weight counts as 1, and draws neither all nor none.
     for odd in [0.0, -2.0, f64::NAN, f64::INFINITY, 1e300, 1e-300] {
-        let odd = rows(|w| if w % 2 == 0 { odd } else { 1.0 }, |_| 0);
-        let of = large(spread(Weights::Size, &odd, |_| 100 * MS));
-        assert!((440..560).contains(&of), "{of} of 1,000 to those of weight {}", odd_of(&odd));
+        let half = rows(|w| if w % 2 == 0 { odd } else { 1.0 }, |_| 0);
+        let of = large(spread(Weights::Size, &half, |_| 100 * MS));
+        assert!((440..560).contains(&of), "{of} of 1,000 to those of weight {odd}");
     }
 }
 
-fn odd_of(rows: &[Row]) -> f64 {
-    rows[0].weight
-}
-
 /// Guards against weights alone: of the same size by the list, one kind runs a job in a third of the time.
 #[test]
 fn a_worker_is_drawn_by_how_fast_its_kind_has_run_jobs() {
