--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,71 +1,115 @@
-"""The process is replaced while discovery is crowded; the new one says yes before it has heard from discovery."""
+"""A client's connection goes quiet for 3 s while its answer is written, and then goes on."""
 
 import asyncio
 import os
-import signal
+import socket
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
-from stand import CannotRun, Clients, Discovery, Worker, run_case, settings  # noqa: E402
+from stand import Clients, Discovery, Server, Worker, run_case, settings  # noqa: E402
 
-# How long a call waits for its turn while discovery is crowded. Calls fail there only after 3 s; none fails here.
-TURN_S = 2.8
-# Discovery's news counts as told this long after the new process has said yes.
-TOLD_AFTER_YES_S = 2.0
-# `obligations.drain-grace-ms`, and what every time limit is longer by on sockets.
-GRACE_S, SLACK_S = 0.3, 0.05
-# What this test may be late by in noting the yes before, or a send after, it happened.
-MEASURING_S = 0.02
-RATE, LOAD_S = 80, 12
+CLIENTS = 10
+DEADLINE_MS = 5000
+# How long after its time a client still takes an answer (STANDING), in seconds.
+ANSWER_SLACK_S = 0.5
+# How long the connections are quiet: well inside the 6 s of a partition, and over 2 s before the deadline.
+QUIET_S = 3.0
+# Within the 64 KiB that a body may have, the stream of the worker included.
+RESULT_BYTES = 60_000
+# A path between halls as TCP sees it: an Ethernet segment size, and a receiver that takes little while it is quiet.
+# Without these the loopback device would take a whole answer at once, which no network does.
+SEGMENT_BYTES = 1400
+RECEIVE_BUFFER_BYTES = 2048
 
 
-class Crowded(Discovery):
-    """Handles calls one after another: with many callers, each call waits for its turn."""
+class LargeResults(Worker):
+    async def line(self, writer, job, state, **more):
+        if "result" in more:
+            more["result"] = more["result"].ljust(RESULT_BYTES, ".")
+        await super().line(writer, job, state, **more)
 
-    turn_s = 0.0
 
-    async def answer(self, query):
-        self.record.note("asked", query=query, turn_s=self.turn_s)
-        if self.turn_s:
-            await asyncio.sleep(self.turn_s)
-        return await super().answer(query)
+async def readable(sock):
+    """Returns once there is something to read, or the end, without reading it."""
+    loop, ready = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_reader(sock, ready.set)
+    try:
+        await ready.wait()
+    finally:
+        loop.remove_reader(sock)
+
+
+class Link(Server):
+    """The network between the clients and the scheduler. While it is quiet it passes nothing on, and closes nothing."""
+
+    def __init__(self, record, target):
+        super().__init__(record)
+        self.target = target
+        self.quiet_until = 0.0
+
+    async def pass_on(self):
+        while (left := self.quiet_until - self.record.now()) > 0:
+            await asyncio.sleep(left)
+
+    async def serve(self, reader, writer):
+        loop = asyncio.get_running_loop()
+        with socket.socket() as beyond:
+            beyond.setblocking(False)
+            beyond.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            beyond.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            host, port = self.target.split(":")
+            await loop.sock_connect(beyond, (host, int(port)))
+
+            async def to_scheduler():
+                while data := await reader.read(65536):
+                    await self.pass_on()
+                    await loop.sock_sendall(beyond, data)
+                beyond.shutdown(socket.SHUT_WR)
+
+            upward = asyncio.create_task(to_scheduler())
+            passed = 0
+            try:
+                while True:
+                    await readable(beyond)
+                    await self.pass_on()
+                    data = await loop.sock_recv(beyond, 2048)
+                    if not data:
+                        break
+                    writer.write(data)
+                    await writer.drain()
+                    passed += len(data)
+            finally:
+                self.record.note("the scheduler's end of a connection", bytes_passed=passed)
+                upward.cancel()
 
 
 async def case(record, platform, trouble):
-    discovery = await Crowded(record).start()
-    workers = [await Worker(record, f"s-{n:04x}").start() for n in range(6)]
+    discovery = await Discovery(record).start()
+    workers = [await LargeResults(record, f"s-{n:04x}", run_s=0.2).start() for n in range(6)]
     for worker in workers:
         discovery.set(worker, "ready")
     platform.write_config(settings(), discovery.address, sockets=384, memory_mb=48)
-    old = await platform.start()
-    await old.until_ready()
-    load = asyncio.create_task(Clients(record, platform.listen).load(RATE, LOAD_S))
-    await asyncio.sleep(2.0)
+    scheduler = await platform.start()
+    await scheduler.until_ready()
+    link = await Link(record, platform.listen).start()
+    clients = Clients(record, link.address)
 
-    if trouble:
-        discovery.turn_s = TURN_S
-        record.note("crowded", turn_s=TURN_S)
-    # The next call of the old process waits for its turn when the worker begins to drain, and the platform starts
-    # the new process.
-    calls = len(record.all("asked"))
-    while len(record.all("asked")) == calls:
+    # Every job comes on a new connection; all of these have arrived, and run, when the network becomes quiet.
+    jobs = [asyncio.create_task(clients.send("transfer", DEADLINE_MS, keep=False)) for _ in range(CLIENTS)]
+    while len(record.all("run")) < CLIENTS:
         await asyncio.sleep(0.01)
-    await asyncio.sleep(0.2)
-    drained = workers[2]
-    discovery.set(drained, "draining")
-    new = await platform.start()
-    await new.until_ready(6.0)
-    yes = record.now()
-    old.signal(signal.SIGTERM)
-    if await old.ended(5.0) is None:
-        raise CannotRun("the old process did not end")
-    await load
-
-    until = yes + TOLD_AFTER_YES_S + GRACE_S + SLACK_S + MEASURING_S
-    late = [line for line in record.all("work") if line["worker"] == drained.id and line["begun"] > until]
-    return [f"request {line['id']} was sent to draining {drained.id} {line['begun'] - yes:.3f} s after the yes "
-            f"(told 2 s after it, the grace is 0.3 s, the slack 0.05 s)" for line in late]
+    if trouble:
+        link.quiet_until = record.now() + QUIET_S
+        record.note("quiet", seconds=QUIET_S)
+    answers = await asyncio.gather(*jobs)
+    ran = {line["id"] for line in record.all("done")}
+    breaks = []
+    for answer in answers:
+        if answer["status"] is None or answer["after"] > DEADLINE_MS / 1000 + ANSWER_SLACK_S:
+            breaks.append(f"request {answer['id']} has no whole answer by its time: {answer.get('why')}; "
+                          f"its job {'ran' if answer['id'] in ran else 'did not run'}")
+    return breaks
 
 
 run_case(HERE, case)
