Split the client reader: connection state and framing in modules of their own

Change: ConnectionState is net/connection_state.rs, with a method for each thing that is noted; the search for a request's end is net/reader/framing.rs. Nothing else changes.

--- /dev/null
+++ b/crates/server/src/net/connection_state.rs
@@ -0,0 +1,167 @@
+//! The state of a client's connection that the reader, below hyper, and the service, above hyper, share.
+//!
+//! It records which request and which response are incomplete and since when, and from that determines what makes
+//! progress and what is overdue.
+
+use std::cell::{Cell, RefCell};
+use std::task::Waker;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How long a request may take to arrive from its first byte; the first request starts with the connection.
+pub(super) const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(2_400);
+/// How long a request may still take to be answered once malformed bytes have followed it: the client must get an error
+/// or the end of the connection within 3 s.
+const ANSWER_TIMEOUT_IF_MALFORMED: Duration = Duration::from_millis(1_500);
+/// A transfer in which no byte was received or sent for this long counts as stalled.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The incomplete request and response of a connection, and its malformed input.
+pub(super) struct ConnectionState {
+    /// When the request that has not arrived in full started.
+    started_at: Cell<Option<Instant>>,
+    /// When its last byte so far was received, if any was.
+    last_byte_at: Cell<Option<Instant>>,
+    /// How many requests were passed to hyper, at least in part.
+    passed: Cell<u64>,
+    answered: Cell<u64>,
+    /// When bytes of a response that is not written in full were last written, or when it was ready.
+    last_write: Cell<Option<Instant>>,
+    /// The client has sent bytes that are not a valid request.
+    malformed: Cell<bool>,
+    /// When such bytes were found behind a request that is still being answered.
+    malformed_at: Cell<Option<Instant>>,
+    /// No other request can follow the current one on this connection.
+    pub close_after_response: Cell<bool>,
+    answer_waker: RefCell<Option<Waker>>,
+}
+
+impl ConnectionState {
+    pub(super) fn new() -> Self {
+        ConnectionState {
+            started_at: Cell::new(Some(Instant::now())),
+            last_byte_at: Cell::new(None),
+            passed: Cell::new(0),
+            answered: Cell::new(0),
+            last_write: Cell::new(None),
+            malformed: Cell::new(false),
+            malformed_at: Cell::new(None),
+            close_after_response: Cell::new(false),
+            answer_waker: RefCell::new(None),
+        }
+    }
+
+    /// Notes that bytes of the next request are there. Returns whether they are its first.
+    pub(super) fn request_starts(&self) -> bool {
+        if self.started_at.get().is_some() {
+            return false;
+        }
+        let now = Some(Instant::now());
+        self.started_at.set(now);
+        self.last_byte_at.set(now);
+        true
+    }
+
+    /// Notes that bytes were received.
+    pub(super) fn received(&self) {
+        self.last_byte_at.set(Some(Instant::now()));
+    }
+
+    /// Notes that the head of a request is complete, and passed to hyper.
+    pub(super) fn passed(&self) {
+        self.passed.set(self.passed.get() + 1);
+    }
+
+    /// Notes that the current request has arrived in full.
+    pub(super) fn arrived(&self) {
+        self.started_at.set(None);
+        self.last_byte_at.set(None);
+    }
+
+    /// Notes that the service has answered: the next request may be passed to hyper.
+    pub(super) fn answered(&self) {
+        self.last_write.set(Some(Instant::now()));
+        self.answered.set(self.answered.get() + 1);
+        self.wake_reader();
+    }
+
+    /// Notes that bytes of a response were written.
+    pub(super) fn written(&self) {
+        self.last_write.set(Some(Instant::now()));
+    }
+
+    /// Notes that everything there was to write is written.
+    pub(super) fn flushed(&self) {
+        self.last_write.set(None);
+    }
+
+    /// Stores the waker of the reader, which is woken once the current request is answered.
+    pub(super) fn wake_when_answered(&self, waker: &Waker) {
+        *self.answer_waker.borrow_mut() = Some(waker.clone());
+    }
+
+    fn wake_reader(&self) {
+        if let Some(waker) = self.answer_waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Notes that the client has sent bytes that are not a valid request.
+    pub(super) fn received_malformed(&self) {
+        self.malformed.set(true);
+    }
+
+    /// Notes that such bytes follow a request that is still being answered.
+    pub(super) fn received_malformed_behind_request(&self) {
+        self.malformed.set(true);
+        self.malformed_at.set(Some(Instant::now()));
+        self.close_after_response.set(true);
+    }
+
+    /// `None` unless a request has arrived in part; otherwise whether it is still arriving rather than stalled.
+    pub(super) fn partial_request(&self, now: Instant) -> Option<bool> {
+        self.last_byte_at.get().map(|at| now < at + STALL_TIMEOUT)
+    }
+
+    /// `None` unless a response is not written in full; otherwise whether it makes progress rather than being stalled.
+    pub(super) fn pending_response(&self, now: Instant) -> Option<bool> {
+        self.last_write.get().map(|at| now < at + STALL_TIMEOUT)
+    }
+
+    /// Whether a request is arriving or a response is being written, and neither is stalled.
+    pub(super) fn makes_progress(&self, now: Instant) -> bool {
+        self.partial_request(now) == Some(true) || self.pending_response(now) == Some(true)
+    }
+
+    /// Whether a request has not arrived within [`ARRIVAL_TIMEOUT`], the client has read nothing of a response for as
+    /// long, or malformed bytes have waited too long for the request before them.
+    pub(super) fn overdue(&self, now: Instant) -> bool {
+        let long_ago = |since: Option<Instant>| since.is_some_and(|at| now > at + ARRIVAL_TIMEOUT);
+        long_ago(self.started_at.get())
+            || long_ago(self.last_write.get())
+            || self.malformed_overdue(now)
+    }
+
+    /// Whether malformed bytes have waited too long for the request before them to be answered.
+    pub(super) fn malformed_overdue(&self, now: Instant) -> bool {
+        self.malformed_at
+            .get()
+            .is_some_and(|at| now > at + ANSWER_TIMEOUT_IF_MALFORMED)
+    }
+
+    /// Whether the client has sent malformed bytes.
+    pub(super) fn is_malformed(&self) -> bool {
+        self.malformed.get()
+    }
+
+    /// Whether the client has sent malformed bytes and no request is being answered.
+    pub(super) fn is_rejected(&self) -> bool {
+        self.malformed.get() && !self.is_answering()
+    }
+
+    /// Whether a request that was passed to hyper has not been answered.
+    pub(super) fn is_answering(&self) -> bool {
+        self.passed.get() > self.answered.get()
+    }
+}
--- a/crates/server/src/net/front/clients.rs
+++ b/crates/server/src/net/front/clients.rs
@@ -10,7 +10,7 @@
 use oakshed_core::facade::Micros;
 use tokio::sync::Notify;
 
-use super::super::reader::ConnectionState;
+use super::super::connection_state::ConnectionState;
 use super::super::Net;
 
 /// How long a new connection has to send its first request before it ranks first for eviction, and how long a used one
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -156,7 +156,7 @@
 
 /// Counts malformed input, whether the reader or hyper detected it. hyper itself responds to what it detects.
 fn count_malformed(net: &Net, client: &Client, result: hyper::Result<()>) {
-    if client.state.malformed.get() || result.is_err_and(|e| e.is_parse()) {
+    if client.state.is_malformed() || result.is_err_and(|e| e.is_parse()) {
         net.counters.clients.bad_requests.increment();
     }
 }
@@ -166,7 +166,7 @@
 /// input. A client that has closed the connection ignores both.
 pub(super) fn final_response(client: &Client) -> &'static [u8] {
     let unanswered = client.idle_since.get().is_none();
-    if unanswered && client.state.malformed.get() {
+    if unanswered && client.state.is_malformed() {
         return BAD_GATEWAY_THEN_BAD_REQUEST;
     }
     if unanswered {
--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -23,8 +23,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::connection_state::ConnectionState;
 use super::error::ListenError;
-use super::reader::ConnectionState;
 use super::transient::retry_at_start;
 use super::Net;
 use accept::AcceptBackoff;
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -19,8 +19,8 @@
     not_allowed, plain_text, rejection, IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_EXTRA, REQ_ID, REQ_KIND,
     REQ_OWNER,
 };
+use super::super::connection_state::ARRIVAL_TIMEOUT;
 use super::super::forwarded_request::{ForwardedRequest, Reservation};
-use super::super::reader::ARRIVAL_TIMEOUT;
 use super::super::{Clock, Net};
 use super::clients::Client;
 use crate::config::Config;
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -8,187 +8,34 @@
 //! service sees the head, and reads on after the body, which allows request smuggling. It waits for the end of a head
 //! without a time limit, and with the next request in its buffer it does not notice that the client has disconnected.
 
-use std::cell::{Cell, RefCell};
+mod framing;
+#[cfg(test)]
+mod tests;
+
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
-use std::time::Duration;
+use std::task::{ready, Context, Poll};
 
 use bytes::{Buf, BytesMut};
-use httparse::{Header, Request, Status};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
+use super::connection_state::ConnectionState;
 use super::transient::TransientRetry;
+use framing::{parse_framing, Framing};
 
 /// The largest request head, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 8 << 10;
 /// The most bytes buffered for a connection: several heads, for clients that pipeline requests.
 const MAX_BUFFER_BYTES: usize = 4 * MAX_HEAD_BYTES;
-/// The most header fields in a head, which is also the limit of hyper.
-const MAX_HEADER_FIELDS: usize = 100;
 /// The most bytes that are read and discarded, both here and while a connection is closed. A client that sends more has
 /// its connection closed with bytes unread.
 pub(super) const MAX_DISCARDED_BYTES: usize = 256 << 10;
 /// The buffer space reserved before each read, in bytes.
 const READ_CHUNK_BYTES: usize = 2 << 10;
-/// How long a request may take to arrive from its first byte; the first request starts with the connection.
-pub(super) const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(2_400);
-/// How long a request may still take to be answered once malformed bytes have followed it: the client must get an error
-/// or the end of the connection within 3 s.
-const ANSWER_TIMEOUT_IF_MALFORMED: Duration = Duration::from_millis(1_500);
-/// A transfer in which no byte was received or sent for this long counts as stalled.
-const STALL_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// The state of a connection that its [`Reader`], below hyper, and the service, above hyper, share.
-pub(super) struct ConnectionState {
-    /// When the request that has not arrived in full started.
-    started_at: Cell<Option<Instant>>,
-    /// When its last byte so far was received, if any was.
-    last_byte_at: Cell<Option<Instant>>,
-    /// How many requests were passed to hyper, at least in part.
-    passed: Cell<u64>,
-    answered: Cell<u64>,
-    /// When bytes of a response that is not written in full were last written, or when it was ready.
-    last_write: Cell<Option<Instant>>,
-    /// The client has sent bytes that are not a valid request.
-    pub malformed: Cell<bool>,
-    /// When such bytes were found behind a request that is still being answered.
-    malformed_at: Cell<Option<Instant>>,
-    /// No other request can follow the current one on this connection.
-    pub close_after_response: Cell<bool>,
-    answer_waker: RefCell<Option<Waker>>,
-}
-
-impl ConnectionState {
-    pub(super) fn new() -> Self {
-        ConnectionState {
-            started_at: Cell::new(Some(Instant::now())),
-            last_byte_at: Cell::new(None),
-            passed: Cell::new(0),
-            answered: Cell::new(0),
-            last_write: Cell::new(None),
-            malformed: Cell::new(false),
-            malformed_at: Cell::new(None),
-            close_after_response: Cell::new(false),
-            answer_waker: RefCell::new(None),
-        }
-    }
-
-    /// Notes that the service has answered: the next request may be passed to hyper.
-    pub(super) fn answered(&self) {
-        self.last_write.set(Some(Instant::now()));
-        self.answered.set(self.answered.get() + 1);
-        if let Some(waker) = self.answer_waker.take() {
-            waker.wake();
-        }
-    }
-
-    /// Notes that the current request has arrived in full.
-    pub(super) fn arrived(&self) {
-        self.started_at.set(None);
-        self.last_byte_at.set(None);
-    }
-
-    /// `None` unless a request has arrived in part; otherwise whether it is still arriving rather than stalled.
-    pub(super) fn partial_request(&self, now: Instant) -> Option<bool> {
-        self.last_byte_at.get().map(|at| now < at + STALL_TIMEOUT)
-    }
-
-    /// `None` unless a response is not written in full; otherwise whether it makes progress rather than being stalled.
-    pub(super) fn pending_response(&self, now: Instant) -> Option<bool> {
-        self.last_write.get().map(|at| now < at + STALL_TIMEOUT)
-    }
-
-    /// Whether a request is arriving or a response is being written, and neither is stalled.
-    pub(super) fn makes_progress(&self, now: Instant) -> bool {
-        self.partial_request(now) == Some(true) || self.pending_response(now) == Some(true)
-    }
-
-    /// Whether a request has not arrived within [`ARRIVAL_TIMEOUT`], the client has read nothing of a response for as
-    /// long, or malformed bytes have waited too long for the request before them.
-    pub(super) fn overdue(&self, now: Instant) -> bool {
-        let long_ago = |since: Option<Instant>| since.is_some_and(|at| now > at + ARRIVAL_TIMEOUT);
-        long_ago(self.started_at.get())
-            || long_ago(self.last_write.get())
-            || self.malformed_overdue(now)
-    }
-
-    /// Whether malformed bytes have waited too long for the request before them to be answered.
-    pub(super) fn malformed_overdue(&self, now: Instant) -> bool {
-        self.malformed_at
-            .get()
-            .is_some_and(|at| now > at + ANSWER_TIMEOUT_IF_MALFORMED)
-    }
-
-    /// Whether the client has sent malformed bytes and no request is being answered.
-    pub(super) fn is_rejected(&self) -> bool {
-        self.malformed.get() && !self.is_answering()
-    }
-
-    /// Whether a request that was passed to hyper has not been answered.
-    fn is_answering(&self) -> bool {
-        self.passed.get() > self.answered.get()
-    }
-}
-
-/// How the end of a buffered request is determined.
-#[derive(Debug, PartialEq)]
-enum Framing {
-    /// The head is not complete yet.
-    Incomplete,
-    /// A request of this many bytes, head and body.
-    Length(u64),
-    Chunked,
-    /// Not a request, or one whose length is ambiguous.
-    Malformed,
-}
-
-/// Parses the head at the start of the buffer.
-fn parse_framing(buffer: &[u8]) -> Framing {
-    // All methods are upper case. Anything else, such as the excess of a body that is too long, is rejected at once, as
-    // the end of a head might never come.
-    if buffer
-        .first()
-        .is_some_and(|b| !b.is_ascii_uppercase() && !b"\r\n".contains(b))
-    {
-        return Framing::Malformed;
-    }
-    let mut fields = [const { MaybeUninit::uninit() }; MAX_HEADER_FIELDS];
-    let mut no_fields = [];
-    let mut request = Request::new(&mut no_fields);
-    let head_length = match request.parse_with_uninit_headers(buffer, &mut fields) {
-        Ok(Status::Complete(length)) if length <= MAX_HEAD_BYTES => length,
-        Ok(Status::Partial) if buffer.len() < MAX_HEAD_BYTES => return Framing::Incomplete,
-        _ => return Framing::Malformed,
-    };
-    let fields_named = |name: &'static str| {
-        request
-            .headers
-            .iter()
-            .filter(move |h: &&Header| h.name.eq_ignore_ascii_case(name))
-            .map(|h| h.value)
-    };
-    let mut lengths = fields_named("content-length");
-    let mut codings = fields_named("transfer-encoding");
-    match (lengths.next(), lengths.next(), codings.next()) {
-        (None, _, None) => Framing::Length(head_length as u64),
-        (None, _, Some(_)) => Framing::Chunked,
-        (Some(length), None, None) => {
-            let digits = std::str::from_utf8(length)
-                .ok()
-                .filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
-            let body = digits.and_then(|t| t.parse::<u64>().ok());
-            body.and_then(|body| body.checked_add(head_length as u64))
-                .map_or(Framing::Malformed, Framing::Length)
-        }
-        _ => Framing::Malformed,
-    }
-}
 
 /// The stream that hyper reads a client's requests from and writes the responses to.
 pub(super) struct Reader {
@@ -243,9 +90,7 @@
         if self.buffer.is_empty() || state.is_answering() || self.remaining > 0 {
             return Ok(());
         }
-        if state.started_at.get().is_none() {
-            state.started_at.set(Some(Instant::now()));
-            state.last_byte_at.set(Some(Instant::now()));
+        if state.request_starts() {
             self.searched = 0;
         }
         self.remaining = match self.find_head() {
@@ -265,21 +110,19 @@
         self.state
             .close_after_response
             .set(self.remaining == u64::MAX);
-        self.state.passed.set(self.state.passed.get() + 1);
+        self.state.passed();
         Ok(())
     }
 
     /// Marks what was received as malformed; the error ends the connection even if a response is outstanding.
     fn reject(&self) -> io::Error {
-        self.state.malformed.set(true);
+        self.state.received_malformed();
         io::Error::new(io::ErrorKind::InvalidData, "malformed HTTP request")
     }
 
     /// Discards what follows the current request as malformed. That request may still be answered, for a limited time.
     fn reject_following(&mut self) {
-        self.state.malformed.set(true);
-        self.state.malformed_at.set(Some(Instant::now()));
-        self.state.close_after_response.set(true);
+        self.state.received_malformed_behind_request();
         self.discarded = self.buffer.len();
         self.buffer.clear();
         self.searched = 0;
@@ -341,7 +184,7 @@
                 {
                     self.reject_following();
                 }
-                *self.state.answer_waker.borrow_mut() = Some(cx.waker().clone());
+                self.state.wake_when_answered(cx.waker());
                 self.discard_excess()?;
             }
             let Reader {
@@ -356,7 +199,7 @@
             if ready!(read_retry.poll(cx, |cx| pin!(stream.read_buf(buffer)).poll(cx)))? == 0 {
                 return Poll::Ready(Ok(()));
             }
-            state.last_byte_at.set(Some(Instant::now()));
+            state.received();
         }
     }
 }
@@ -375,13 +218,13 @@
         let mut stream = stream.borrow_mut();
         let n = ready!(write_retry.poll(cx, |cx| Pin::new(&mut *stream).poll_write(cx, buf)))?;
         drop(stream);
-        self.state.last_write.set(Some(Instant::now()));
+        self.state.written();
         Poll::Ready(Ok(n))
     }
 
     /// Called by hyper once everything that it had to write is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.state.last_write.set(None);
+        self.state.flushed();
         Poll::Ready(Ok(()))
     }
 
@@ -394,6 +237,3 @@
         })
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/server/src/net/reader/tests.rs
+++ b/crates/server/src/net/reader/tests.rs
@@ -2,7 +2,8 @@
 //!
 //! Connections with malformed requests are tested in `tests/sockets`.
 
-use super::*;
+use super::framing::{parse_framing, Framing};
+use super::MAX_HEAD_BYTES;
 
 #[test]
 fn framing_accepts_one_valid_content_length_and_rejects_ambiguous_ones() {
