Count the responses that the scheduler cuts off

Cause: the log could not tell why a client got half an answer. overdue_requests counts a request that does not arrive and a response that is not read alike, and neither an eviction nor a shutdown shows whether a response was still being written when it closed its connection.

Change: the counter unfinished_responses, last in the Counters of the summary line, counts each connection that this process ends under a response that is not written in full. With overdue_requests, evicted_clients and the lines of a shutdown it tells which of the three closed it.

--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -129,6 +129,11 @@
         self.last_write.get().map(|at| now < at + STALL_TIMEOUT)
     }
 
+    /// Whether a response is not written in full.
+    pub(super) fn has_pending_response(&self) -> bool {
+        self.last_write.get().is_some()
+    }
+
     /// Whether a request is arriving or a response is being written, and neither is stalled.
     pub(super) fn makes_progress(&self, now: Instant) -> bool {
         self.partial_request(now) == Some(true) || self.pending_response(now) == Some(true)
--- a/crates/server/src/net/counters.rs
+++ b/crates/server/src/net/counters.rs
@@ -62,6 +62,8 @@
     pub overdue_requests: Counter,
     /// Requests that were rejected because the memory for bodies was used up.
     pub out_of_memory: Counter,
+    /// Connections that this process ended while a response was not written in full.
+    pub unfinished_responses: Counter,
 }
 
 /// Counters of workers and the connections to them.
@@ -147,6 +149,7 @@
             .field("evicted_clients", &clients.evicted)
             .field("overdue_requests", &clients.overdue_requests)
             .field("no_room", &clients.out_of_memory)
+            .field("unfinished_responses", &clients.unfinished_responses)
             .finish()
     }
 }
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -38,7 +38,8 @@
 const BAD_REQUEST: &[u8] =
     b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// Serves a connection until its client ends it, it is evicted, or the process shuts down.
+/// Serves a connection until its client ends it, it is evicted, or the process shuts down. Counts a response that the
+/// end cuts off.
 pub(super) async fn serve_connection(
     net: &Rc<Net>,
     clients: &Clients,
@@ -75,8 +76,12 @@
             CloseCause::Shutdown => finish_in_shutdown(net, client, &stream, connection).await,
         },
     };
-    if let Some(result) = result {
-        count_malformed(net, client, result);
+    match result {
+        Some(result) => count_malformed(net, client, result),
+        None if client.state.has_pending_response() => {
+            net.counters.clients.unfinished_responses.increment();
+        }
+        None => {}
     }
 }
 
