Keep a connection under an unfinished response for as long as its client waits

Callers saw half an answer and the end of the connection, though their job had run, when the path to them was silent for a few seconds while the answer was written.

Cause: ConnectionState took a response of which nothing could be written for 0.5 s for stalled, and after 2.4 s for overdue, whatever time its client had left. Three places close such a connection and drop what hyper has not written: close_overdue (2.4 s), the eviction at the descriptor limit (0.5 s) and a shutdown (0.5 s, at its next check).

Until then a pending response counts as making progress and as not overdue, which all three places ask for. A client that never reads is closed after that, a shutdown still ends all at the time of its last answer, and bytes that are no request still limit the response before them to 1.5 s, so each wait is bounded. ArrivedRequest takes the place of a tuple.

Tests, sockets/stalled_clients.rs: all four failed before: "no whole response" within the deadline, in a shutdown and at the descriptor limit, and a client that never reads was closed after 2.41 s, with 3 s of its own time; all pass now. Unit tests hold the times. unacknowledged_at and established_at are new in the stand-ins.

--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -3,6 +3,9 @@
 //! It records which request and which response are incomplete and since when, and from that determines what makes
 //! progress and what is overdue.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::task::Waker;
 use std::time::Duration;
@@ -14,8 +17,11 @@
 /// How long a request may still take to be answered once malformed bytes have followed it: the client must get an error
 /// or the end of the connection within 3 s.
 const ANSWER_TIMEOUT_IF_MALFORMED: Duration = Duration::from_millis(1_500);
-/// A transfer in which no byte was received or sent for this long counts as stalled.
+/// A transfer in which no byte was received or sent for this long counts as stalled, unless its client still waits for
+/// the response.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long after its deadline a client may still accept a response.
+const RESPONSE_GRACE: Duration = Duration::from_millis(500);
 
 /// The incomplete request and response of a connection, and its malformed input.
 pub(super) struct ConnectionState {
@@ -28,6 +34,8 @@
     answered: Cell<u64>,
     /// When bytes of a response that is not written in full were last written, or when it was ready.
     last_write: Cell<Option<Instant>>,
+    /// Until when the client waits for the response to the current request; `None` before that request has arrived.
+    response_expected_until: Cell<Option<Instant>>,
     /// The client has sent bytes that are not a valid request.
     malformed: Cell<bool>,
     /// When such bytes were found behind a request that is still being answered.
@@ -45,6 +53,7 @@
             passed: Cell::new(0),
             answered: Cell::new(0),
             last_write: Cell::new(None),
+            response_expected_until: Cell::new(None),
             malformed: Cell::new(false),
             malformed_at: Cell::new(None),
             close_after_response: Cell::new(false),
@@ -70,6 +79,7 @@
 
     /// Notes that the head of a request is complete, and passed to hyper.
     pub(super) fn passed(&self) {
+        self.response_expected_until.set(None);
         self.passed.set(self.passed.get() + 1);
     }
 
@@ -79,6 +89,12 @@
         self.last_byte_at.set(None);
     }
 
+    /// Notes the deadline of the client whose request has arrived.
+    pub(super) fn expect_response_by(&self, client_deadline: Instant) {
+        self.response_expected_until
+            .set(Some(client_deadline + RESPONSE_GRACE));
+    }
+
     /// Notes that the service has answered: the next request may be passed to hyper.
     pub(super) fn answered(&self) {
         self.last_write.set(Some(Instant::now()));
@@ -124,9 +140,17 @@
         self.last_byte_at.get().map(|at| now < at + STALL_TIMEOUT)
     }
 
-    /// `None` unless a response is not written in full; otherwise whether it makes progress rather than being stalled.
+    /// `None` unless a response is not written in full; otherwise whether it may still arrive: it makes progress, or
+    /// its client waits for it. A client that reads nothing for a while may be cut off from the network.
     pub(super) fn pending_response(&self, now: Instant) -> Option<bool> {
-        self.last_write.get().map(|at| now < at + STALL_TIMEOUT)
+        let last_write = self.last_write.get()?;
+        Some(now < last_write + STALL_TIMEOUT || self.is_response_expected(now))
+    }
+
+    /// Whether a response is not written in full and its client waits for it.
+    fn is_response_expected(&self, now: Instant) -> bool {
+        let expected_until = self.response_expected_until.get();
+        self.has_pending_response() && expected_until.is_some_and(|until| now < until)
     }
 
     /// Whether a response is not written in full.
@@ -134,18 +158,18 @@
         self.last_write.get().is_some()
     }
 
-    /// Whether a request is arriving or a response is being written, and neither is stalled.
+    /// Whether a request is arriving and not stalled, or a response is being written that may still arrive.
     pub(super) fn makes_progress(&self, now: Instant) -> bool {
         self.partial_request(now) == Some(true) || self.pending_response(now) == Some(true)
     }
 
     /// Whether a request has not arrived within [`ARRIVAL_TIMEOUT`], the client has read nothing of a response for as
-    /// long, or malformed bytes have waited too long for the request before them.
+    /// long, or malformed bytes have waited too long for the request before them. The first two do not count while a
+    /// client waits for its response, as a close would cut that off.
     pub(super) fn overdue(&self, now: Instant) -> bool {
         let long_ago = |since: Option<Instant>| since.is_some_and(|at| now > at + ARRIVAL_TIMEOUT);
-        long_ago(self.started_at.get())
-            || long_ago(self.last_write.get())
-            || self.malformed_overdue(now)
+        let is_stalled = long_ago(self.started_at.get()) || long_ago(self.last_write.get());
+        is_stalled && !self.is_response_expected(now) || self.malformed_overdue(now)
     }
 
     /// Whether malformed bytes have waited too long for the request before them to be answered.
--- a/crates/server/src/net/front/clients.rs
+++ b/crates/server/src/net/front/clients.rs
@@ -1,7 +1,8 @@
 //! The table of client connections, and the choice of those to evict.
 //!
-//! A connection is not evicted while a request on it is being processed, or while a request arrives or a response is
-//! written and makes progress. A connection whose request or response takes too long in all is closed regardless.
+//! A connection is not evicted while a request on it is being processed, while a request arrives or a response is
+//! written and makes progress, or while its client waits for a response that is not written in full. A connection whose
+//! request takes too long in all, or whose response its client no longer waits for, is closed regardless.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -61,12 +62,12 @@
     /// one that has been idle longest comes first. The ranks are:
     ///
     /// 0. no request yet, after the grace period;
-    /// 1. a partial request, or a response being written, that makes no progress;
+    /// 1. a partial request that makes no progress, or such a response for which no client waits any more;
     /// 2. idle between requests;
     /// 3. no request yet, within the grace period.
     ///
     /// A connection is not a candidate while its request is being processed or still arrives, however slowly, or while
-    /// its client still reads the response. The order prevents hundreds of clients that send nothing or partial
+    /// its client still reads the response or waits for the rest of it. The order prevents hundreds of clients that send nothing or partial
     /// requests from displacing ordinary ones. It also prevents the connection accepted last from being evicted every
     /// time.
     fn close_first_ranked(&self, now: Micros) -> bool {
@@ -183,7 +184,8 @@
     }
 }
 
-/// Periodically closes connections whose request takes too long to arrive or whose client does not read the response.
+/// Periodically closes connections whose request takes too long to arrive, or whose client does not read the response
+/// and no longer waits for it.
 /// This includes connections on which nothing was ever sent, but not those that are idle between requests.
 pub(super) async fn close_overdue(net: Rc<Net>, clients: Rc<Clients>) {
     loop {
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -119,7 +119,7 @@
 /// Serves a connection in a shutdown until it can close; returns hyper's result if the connection ended by itself.
 ///
 /// Prevents the close from cutting off a request that has arrived but was not read yet (a connection accepted last has
-/// never been read), one that is still arriving, and a response that is still being written. These may go on until the
+/// never been read), one that is still arriving, and a response for which the client waits. These may go on until the
 /// time of the last answer; a request that is being processed has its own deadline.
 async fn finish_in_shutdown<C: Future<Output = hyper::Result<()>>>(
     net: &Net,
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -19,7 +19,7 @@
 use super::super::workers::{self, Attempt, AttemptDeadlines, AttemptObserver, ClientConnection};
 use super::super::Net;
 use super::clients::Client;
-use super::request::{class_of, read_request};
+use super::request::{class_of, read_request, ArrivedRequest};
 use oakshed_core::facade::{Ending, Handle, Job, Micros, Observation, Report, Step};
 use oakshed_core::figures::{PendingRequest, RequestOutcome};
 
@@ -92,15 +92,20 @@
     (head, body): (Parts, Incoming),
 ) -> Response<Full<Bytes>> {
     let options = durable::JobOptions::read(&head.headers);
-    let (job, forwarded, mut reservation) =
-        match read_request(net, accounting.class, arrived, head, body).await {
-            Ok(read) => read,
-            Err(error) => {
-                net.counters.clients.bad_requests.increment();
-                return error.answer(&net.config.settings, client);
-            }
-        };
+    let ArrivedRequest {
+        job,
+        forwarded,
+        mut reservation,
+        client_deadline,
+    } = match read_request(net, accounting.class, arrived, head, body).await {
+        Ok(request) => request,
+        Err(error) => {
+            net.counters.clients.bad_requests.increment();
+            return error.answer(&net.config.settings, client);
+        }
+    };
     client.state.arrived();
+    client.state.expect_response_by(client_deadline);
     accounting.on_arrived();
     client.has_sent_request.set(true);
     client.idle_since.set(None);
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -14,6 +14,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response, StatusCode};
+use tokio::time::Instant;
 
 use super::super::answers::{
     not_allowed, plain_text, rejection, IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_EXTRA, REQ_ID, REQ_KIND,
@@ -117,14 +118,26 @@
     }
 }
 
-/// Reads a request; returns the scheduler's view of it, the request to forward, and the memory reserved for its body.
+/// A request that has arrived in full.
+pub(super) struct ArrivedRequest {
+    /// The scheduler's view of it.
+    pub job: Job,
+    /// What is forwarded to a worker.
+    pub forwarded: ForwardedRequest,
+    /// The memory reserved for its body.
+    pub reservation: Reservation,
+    /// Until when its client waits for the response. A client's time counts from the last byte of its request.
+    pub client_deadline: Instant,
+}
+
+/// Reads a request up to its last byte.
 pub(super) async fn read_request(
     net: &Rc<Net>,
     class: Option<usize>,
     arrived: Micros,
     head: Parts,
     body: Incoming,
-) -> Result<(Job, ForwardedRequest, Reservation), RequestError> {
+) -> Result<ArrivedRequest, RequestError> {
     let Some(target) = head.uri.path_and_query().cloned() else {
         return Err(RequestError::NoPath);
     };
@@ -134,7 +147,8 @@
     }
     let mut fields = head.headers;
     let id = validated_id(&net.config, class, &fields)?;
-    let deadline = arrived + client_timeout(&net.config.settings, class, &fields)?;
+    let timeout = client_timeout(&net.config.settings, class, &fields)?;
+    let deadline = arrived + timeout;
     let mut job = scheduler_job(&net.config.names, class, key, &fields);
     let reservation = reserve(net, &body)?;
     let body = read_body(&net.clock, deadline, body).await?;
@@ -160,7 +174,12 @@
         deadline,
         _reservation: None,
     };
-    Ok((job, forwarded, reservation))
+    Ok(ArrivedRequest {
+        job,
+        forwarded,
+        reservation,
+        client_deadline: net.clock.instant(now + timeout),
+    })
 }
 
 /// Reserves memory for a body: its declared length, or [`MAX_BODY`] if that is not known.
@@ -278,9 +297,7 @@
 /// Reads the whole body until the deadline, at most for [`BODY_TIMEOUT`].
 async fn read_body(clock: &Clock, deadline: Micros, body: Incoming) -> Result<Bytes, RequestError> {
     let body = Limited::new(body, MAX_BODY).collect();
-    let time_limit = clock
-        .instant(deadline)
-        .min(tokio::time::Instant::now() + BODY_TIMEOUT);
+    let time_limit = clock.instant(deadline).min(Instant::now() + BODY_TIMEOUT);
     match tokio::time::timeout_at(time_limit, body).await {
         Err(_) => Err(RequestError::BodyTimeout),
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/server/tests/sockets/main.rs
+++ b/crates/server/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod large;
 mod malformed;
 mod stages;
+mod stalled_clients;
 mod start;
 mod starting;
 mod stop;
--- a/crates/standin/src/system.rs
+++ b/crates/standin/src/system.rs
@@ -64,6 +64,39 @@
 /// Panics when the address is not one of IPv4, or the system's list cannot be read.
 #[must_use]
 pub fn unread_at(address: SocketAddr) -> usize {
+    let connections = connections_at(address);
+    connections.iter().map(|c| c.unread).sum()
+}
+
+/// Bytes that were written at an address, and that the other end has not acknowledged.
+///
+/// # Panics
+/// Panics when the address is not one of IPv4, or the system's list cannot be read.
+#[must_use]
+pub fn unacknowledged_at(address: SocketAddr) -> usize {
+    let connections = connections_at(address);
+    connections.iter().map(|c| c.unacknowledged).sum()
+}
+
+/// Connections to an address that neither end has closed, as the system sees them at this address.
+///
+/// # Panics
+/// Panics when the address is not one of IPv4, or the system's list cannot be read.
+#[must_use]
+pub fn established_at(address: SocketAddr) -> usize {
+    let connections = connections_at(address);
+    connections.iter().filter(|c| c.is_established).count()
+}
+
+/// A connection at a local address, with the bytes that the system holds for it.
+struct LocalConnection {
+    is_established: bool,
+    unacknowledged: usize,
+    unread: usize,
+}
+
+/// The connections at a local address; a listening socket is none.
+fn connections_at(address: SocketAddr) -> Vec<LocalConnection> {
     let SocketAddr::V4(v4) = address else {
         panic!("{address} is not of IPv4")
     };
@@ -73,14 +106,19 @@
         v4.port()
     );
     let list = std::fs::read_to_string("/proc/net/tcp").expect("the system's list");
-    // Of each socket: its own address, the other one, its state (0A listens), and what it has to send and to be read.
+    // Of each socket: its own address, the other one, its state (01 is established, 0A listens), and what it has to send
+    // and to be read.
     let of = |line: &str| {
         let (_, rest) = line.split_once(&own)?;
-        let queue = rest
-            .split([' ', ':'])
-            .nth(4)
-            .filter(|_| rest.split(' ').nth(1) != Some("0A"))?;
-        Some(usize::from_str_radix(queue, 16).expect("a number"))
+        let mut fields = rest.split(' ').skip(1);
+        let state = fields.next().filter(|state| *state != "0A")?;
+        let (unacknowledged, unread) = fields.next()?.split_once(':')?;
+        let number = |digits| usize::from_str_radix(digits, 16).expect("a number");
+        Some(LocalConnection {
+            is_established: state == "01",
+            unacknowledged: number(unacknowledged),
+            unread: number(unread),
+        })
     };
-    list.lines().filter_map(of).sum()
+    list.lines().filter_map(of).collect()
 }
