Pass a request on only once the response before it is written in full

Callers that send bytes behind a request saw the error for these in the midst of the response: with a response half written, "no request" behind its request ended the connection at once, and the 400 was written into the rest of the 200.

Cause: the reader looked at the next request as soon as the service had answered, though hyper may still be writing. Its error on malformed bytes ends hyper's connection, with what is not written.

Change: the reader waits until the response is written (is_responding), is woken then, and ends the connection for malformed input behind a response after it. One method, `transfer`, replaces three copies of the question whether a connection receives or sends, and counts both directions: a request that stalls behind an unfinished response no longer makes its connection one to evict.

--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -38,11 +38,11 @@
     response_expected_until: Cell<Option<Instant>>,
     /// The client has sent bytes that are not a valid request.
     malformed: Cell<bool>,
-    /// When such bytes were found behind a request that is still being answered.
+    /// When such bytes were found behind a request whose response was not written in full.
     malformed_at: Cell<Option<Instant>>,
     /// No other request can follow the current one on this connection.
     pub close_after_response: Cell<bool>,
-    answer_waker: RefCell<Option<Waker>>,
+    flush_waker: RefCell<Option<Waker>>,
 }
 
 impl ConnectionState {
@@ -57,7 +57,7 @@
             malformed: Cell::new(false),
             malformed_at: Cell::new(None),
             close_after_response: Cell::new(false),
-            answer_waker: RefCell::new(None),
+            flush_waker: RefCell::new(None),
         }
     }
 
@@ -95,11 +95,10 @@
             .set(Some(client_deadline + RESPONSE_GRACE));
     }
 
-    /// Notes that the service has answered: the next request may be passed to hyper.
+    /// Notes that the service has answered. The response is still to be written.
     pub(super) fn answered(&self) {
         self.last_write.set(Some(Instant::now()));
         self.answered.set(self.answered.get() + 1);
-        self.wake_reader();
     }
 
     /// Notes that bytes of a response were written.
@@ -107,28 +106,27 @@
         self.last_write.set(Some(Instant::now()));
     }
 
-    /// Notes that everything there was to write is written.
+    /// Notes that everything there was to write is written: the next request may be passed to hyper.
     pub(super) fn flushed(&self) {
-        self.last_write.set(None);
-    }
-
-    /// Stores the waker of the reader, which is woken once the current request is answered.
-    pub(super) fn wake_when_answered(&self, waker: &Waker) {
-        *self.answer_waker.borrow_mut() = Some(waker.clone());
-    }
-
-    fn wake_reader(&self) {
-        if let Some(waker) = self.answer_waker.take() {
+        if self.last_write.take().is_none() {
+            return;
+        }
+        if let Some(waker) = self.flush_waker.take() {
             waker.wake();
         }
     }
 
+    /// Stores the waker of the reader, which is woken once the response to the current request is written.
+    pub(super) fn wake_when_flushed(&self, waker: &Waker) {
+        *self.flush_waker.borrow_mut() = Some(waker.clone());
+    }
+
     /// Notes that the client has sent bytes that are not a valid request.
     pub(super) fn received_malformed(&self) {
         self.malformed.set(true);
     }
 
-    /// Notes that such bytes follow a request that is still being answered.
+    /// Notes that such bytes follow a request whose response is not written in full.
     pub(super) fn received_malformed_behind_request(&self) {
         self.malformed.set(true);
         self.malformed_at.set(Some(Instant::now()));
@@ -136,13 +134,13 @@
     }
 
     /// `None` unless a request has arrived in part; otherwise whether it is still arriving rather than stalled.
-    pub(super) fn partial_request(&self, now: Instant) -> Option<bool> {
+    fn partial_request(&self, now: Instant) -> Option<bool> {
         self.last_byte_at.get().map(|at| now < at + STALL_TIMEOUT)
     }
 
     /// `None` unless a response is not written in full; otherwise whether it may still arrive: it makes progress, or
     /// its client waits for it. A client that reads nothing for a while may be cut off from the network.
-    pub(super) fn pending_response(&self, now: Instant) -> Option<bool> {
+    fn pending_response(&self, now: Instant) -> Option<bool> {
         let last_write = self.last_write.get()?;
         Some(now < last_write + STALL_TIMEOUT || self.is_response_expected(now))
     }
@@ -158,9 +156,13 @@
         self.last_write.get().is_some()
     }
 
-    /// Whether a request is arriving and not stalled, or a response is being written that may still arrive.
-    pub(super) fn makes_progress(&self, now: Instant) -> bool {
-        self.partial_request(now) == Some(true) || self.pending_response(now) == Some(true)
+    /// `None` unless a request has arrived in part or a response is not written in full; otherwise whether one of them
+    /// makes progress.
+    pub(super) fn transfer(&self, now: Instant) -> Option<bool> {
+        let request = self.partial_request(now);
+        let response = self.pending_response(now);
+        let is_any = request.is_some() || response.is_some();
+        is_any.then_some(request == Some(true) || response == Some(true))
     }
 
     /// Whether a request has not arrived within [`ARRIVAL_TIMEOUT`], the client has read nothing of a response for as
@@ -172,7 +174,7 @@
         is_stalled && !self.is_response_expected(now) || self.malformed_overdue(now)
     }
 
-    /// Whether malformed bytes have waited too long for the request before them to be answered.
+    /// Whether malformed bytes have waited too long for the response to the request before them to be written.
     pub(super) fn malformed_overdue(&self, now: Instant) -> bool {
         self.malformed_at
             .get()
@@ -190,7 +192,12 @@
     }
 
     /// Whether a request that was passed to hyper has not been answered.
-    pub(super) fn is_answering(&self) -> bool {
+    fn is_answering(&self) -> bool {
         self.passed.get() > self.answered.get()
     }
+
+    /// Whether a request that was passed to hyper has not been answered, or its response is not written in full.
+    pub(super) fn is_responding(&self) -> bool {
+        self.is_answering() || self.has_pending_response()
+    }
 }
--- a/crates/server/src/net/front/clients.rs
+++ b/crates/server/src/net/front/clients.rs
@@ -72,11 +72,7 @@
     /// time.
     fn close_first_ranked(&self, now: Micros) -> bool {
         let instant = tokio::time::Instant::now();
-        let rank = |c: &Client, since: Micros| match c
-            .state
-            .partial_request(instant)
-            .or(c.state.pending_response(instant))
-        {
+        let rank = |c: &Client, since: Micros| match c.state.transfer(instant) {
             Some(true) => None,
             Some(false) => Some(1),
             None if c.has_sent_request.get() => Some(2),
@@ -102,10 +98,7 @@
         let instant = tokio::time::Instant::now();
         let open = self.open.borrow();
         let remaining = open.iter().filter(|c| !c.close_requested.get());
-        let inactive = remaining.filter(|c| {
-            c.state.partial_request(instant).is_none()
-                && c.state.pending_response(instant).is_none()
-        });
+        let inactive = remaining.filter(|c| c.state.transfer(instant).is_none());
         let idle = inactive.filter_map(|c| {
             Some((
                 c.idle_since
@@ -162,13 +155,7 @@
         if open.len() > limit && used().count() > limit {
             // The response to a request that was answered just now may not be written completely yet.
             let instant = tokio::time::Instant::now();
-            let is_active = |c: &Client| {
-                c.state
-                    .partial_request(instant)
-                    .or(c.state.pending_response(instant))
-                    .is_some()
-            };
-            let idle = used().filter(|c| !is_active(c));
+            let idle = used().filter(|c| c.state.transfer(instant).is_none());
             let idle = idle.filter_map(|c| {
                 Some((
                     c.idle_since
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -156,7 +156,7 @@
     };
     client.idle_since.get().is_some()
         && (client.state.overdue(now)
-            || !client.state.makes_progress(now) && !may_have_unread_bytes())
+            || client.state.transfer(now) != Some(true) && !may_have_unread_bytes())
 }
 
 /// Counts malformed input, whether the reader or hyper detected it. hyper itself responds to what it detects.
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -1,7 +1,7 @@
 //! The transport between a client's socket and hyper, which enforces request boundaries.
 //!
-//! Requests are passed to hyper one at a time: only once the head is complete, and only after the previous request has
-//! been answered. The bytes themselves are never changed, at most `MAX_BUFFER_BYTES` are buffered, and the socket is
+//! Requests are passed to hyper one at a time: only once the head is complete, and only after the previous response is
+//! written in full. The bytes themselves are never changed, at most `MAX_BUFFER_BYTES` are buffered, and the socket is
 //! read even while a request is being answered, so that a disconnect is noticed.
 //!
 //! hyper alone is not enough. It drops `Content-Length` beside `Transfer-Encoding`, in either order and before the
@@ -84,10 +84,11 @@
         }
     }
 
-    /// Starts to pass the next request to hyper, if its head is complete and the previous request is answered.
+    /// Starts to pass the next request to hyper, if its head is complete and the previous response is written. An error
+    /// ends the connection, and would cut off that response.
     fn start_request(&mut self) -> io::Result<()> {
         let state = &self.state;
-        if self.buffer.is_empty() || state.is_answering() || self.remaining > 0 {
+        if self.buffer.is_empty() || state.is_responding() || self.remaining > 0 {
             return Ok(());
         }
         if state.request_starts() {
@@ -170,13 +171,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
+            if self.state.is_malformed() && !self.state.is_responding() {
+                return Poll::Ready(Err(self.reject()));
+            }
             self.start_request()?;
             if self.remaining > 0 && !self.buffer.is_empty() {
                 self.fill(buf);
                 return Poll::Ready(Ok(()));
             }
-            let awaiting_answer = self.remaining == 0 && self.state.is_answering();
-            if awaiting_answer {
+            let is_responding = self.remaining == 0 && self.state.is_responding();
+            if is_responding {
                 // Bytes received now belong to the next request.
                 if self.discarded == 0
                     && self.searched < self.buffer.len()
@@ -184,7 +188,7 @@
                 {
                     self.reject_following();
                 }
-                self.state.wake_when_answered(cx.waker());
+                self.state.wake_when_flushed(cx.waker());
                 self.discard_excess()?;
             }
             let Reader {
--- a/crates/server/tests/sockets/stalled_clients.rs
+++ b/crates/server/tests/sockets/stalled_clients.rs
@@ -125,3 +125,22 @@
     let log = program.log();
     assert!(log.contains("unfinished_responses: 1 "), "{log}");
 }
+
+/// Guards against an error in the midst of a response: malformed input that follows the request ends the connection only
+/// behind the response to it.
+#[test]
+fn malformed_input_does_not_cut_off_the_response_before_it() {
+    let worker = worker_with_large_results();
+    let program = Program::start(&Discovery::new(&[("s-1", worker.address)]));
+    let mut client = stalled_client(&program, &request("transfer", "id-1"));
+    client
+        .write_all(b"no request\r\n\r\n")
+        .expect("failed to write");
+    until("the malformed input is read", || {
+        unread_at(program.address) == 0
+    });
+    let mut reader = BufReader::new(client);
+    let responses =
+        [(); 3].map(|()| Message::read(&mut reader).map(|m| (m.status(), m.body.len())));
+    assert_eq!(responses, [Some((200, RESULT_BYTES)), Some((400, 0)), None]);
+}
