Hand the names of departed workers over in a hot restart, so that they can be excluded

Cause: `exclude` accepts names that the list has had at any time, which each process holds for itself. The message of a hot restart carries the present list, and the exclusions in force are read from the shared directory, but the names of workers that have left came from nowhere.

Change: the message has the field `departed`, with a default: the names that the predecessor knows and its list does not have, 256 KiB at most. The successor accepts them, and hands them on. They are taken over from a predecessor with another configuration too, as the exclusions themselves are. An older process ignores the field and sends none.

Tests: departed_worker_can_be_excluded_after_hot_restarts failed with that NO before, and passes over two restarts; an id that was never listed is still a NO.

--- a/crates/core/src/facade/hot_restart.rs
+++ b/crates/core/src/facade/hot_restart.rs
@@ -3,6 +3,8 @@
 //! The two processes have different clocks, so times are handed over as durations and converted here to the
 //! clock of this process. Restoring state from a predecessor must not send anything to a worker.
 
+use std::rc::Rc;
+
 use super::{Facade, HandoverState, WarmingWorker, WorkerBackoff};
 use crate::interface::Micros;
 use crate::names::worker_id;
@@ -10,6 +12,8 @@
 use crate::state::WorkerStart;
 use crate::time::{Instant, Span};
 
+/// The most bytes that the names of departed workers may have in all when they are handed over.
+const MAX_DEPARTED_NAME_BYTES: usize = 256 << 10;
 /// Upper bound of a worker's remaining backoff that is restored from the predecessor.
 const MAX_RESUMED_BACKOFF: Span = Span::from_millis(60_000);
 
@@ -87,4 +91,30 @@
             self.scheduler.resume_warming(worker, start);
         }
     }
+
+    /// Returns the names of workers that have left the endpoint list, as many as fit into
+    /// [`MAX_DEPARTED_NAME_BYTES`]. Operators may exclude these too, and the list does not name them.
+    #[must_use]
+    pub fn departed_workers(&self) -> Vec<Rc<str>> {
+        let mut departed = Vec::new();
+        let mut bytes = 0;
+        for (worker, name) in &self.worker_names {
+            if self.scheduler.is_listed(*worker) {
+                continue;
+            }
+            bytes += name.len();
+            if bytes > MAX_DEPARTED_NAME_BYTES {
+                break;
+            }
+            departed.push(name.clone());
+        }
+        departed
+    }
+
+    /// Restores the names of workers that left the predecessor's endpoint list.
+    pub fn resume_departed(&mut self, departed: Vec<Rc<str>>) {
+        for name in departed {
+            self.worker_names.entry(worker_id(&name)).or_insert(name);
+        }
+    }
 }
--- a/crates/core/src/state/list.rs
+++ b/crates/core/src/state/list.rs
@@ -143,6 +143,12 @@
         self.workers.find(worker).is_some()
     }
 
+    /// Whether a worker is in the endpoint list.
+    pub(crate) fn is_listed(&self, worker: WorkerId) -> bool {
+        let index = self.workers.find(worker);
+        index.is_some_and(|w| self.workers[w].listing.is_listed)
+    }
+
     /// The number of known workers.
     pub(crate) fn known_workers(&self) -> usize {
         self.workers.len()
--- a/crates/server/src/net/hot_restart/message.rs
+++ b/crates/server/src/net/hot_restart/message.rs
@@ -36,6 +36,9 @@
     /// The workers that are warming up; empty from an older version, which sends none.
     #[serde(default)]
     pub(super) warming: Vec<WarmingForm>,
+    /// The names of workers that have left the list; empty from an older version, which sends none.
+    #[serde(default)]
+    pub(super) departed: Vec<Rc<str>>,
 }
 
 /// The serialized form of a worker that is warming up. It carries the worker's age as a span, as the clocks of the two
--- a/crates/server/src/net/hot_restart/predecessor.rs
+++ b/crates/server/src/net/hot_restart/predecessor.rs
@@ -107,6 +107,7 @@
             .into_iter()
             .map(WarmingForm::from)
             .collect(),
+        departed: facade.departed_workers(),
     };
     let body = serde_json::to_string(&message)?;
     Ok(format!("{}\n{body}", body.len()))
--- a/crates/server/src/net/hot_restart/successor.rs
+++ b/crates/server/src/net/hot_restart/successor.rs
@@ -1,7 +1,8 @@
 //! The successor's side of a hot restart: at its start it asks the predecessor for the listening socket and the state.
 //!
 //! If the predecessor does not answer in time or sends anything unexpected, the process starts without it. The
-//! state of a predecessor with another configuration is ignored, and only its socket is used.
+//! state of a predecessor with another configuration is ignored; only its socket and the names of workers that it no
+//! longer listed are used.
 
 use std::io::{self, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
@@ -9,6 +10,7 @@
 use std::ops::Range;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream as BlockingStream;
+use std::rc::Rc;
 use std::time::Instant;
 
 use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
@@ -35,6 +37,7 @@
     pub list: Option<Answer>,
     pub state: HandoverState,
     pub warming: Vec<WarmingWorker>,
+    pub departed: Vec<Rc<str>>,
     pub link: BlockingStream,
 }
 
@@ -87,6 +90,8 @@
         list: None,
         state: HandoverState::default(),
         warming: vec![],
+        // Operators may exclude any worker that this scheduler ever listed, whatever its configuration was.
+        departed: message.departed,
         link,
     };
     if same_configuration {
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -119,6 +119,7 @@
                 config.cached_list = inherited.list.or(config.cached_list.take());
                 facade.resume_handover_state(clock.now(), &inherited.state);
                 facade.resume_warming(clock.now(), &inherited.warming);
+                facade.resume_departed(inherited.departed);
                 predecessor = Some(inherited.link);
                 TcpListener::from_std(inherited.listener)?
             }
--- a/crates/server/tests/daily/exclusions.rs
+++ b/crates/server/tests/daily/exclusions.rs
@@ -151,3 +151,48 @@
     assert!(call(new.admin(), "include s-1").starts_with("YES"));
     assert_eq!(excluded(&new), 1);
 }
+
+/// Guards against a hot restart after which a worker that had left the list cannot be excluded, and is sent work when it
+/// returns.
+#[test]
+fn departed_worker_can_be_excluded_after_hot_restarts() {
+    let workers = [good(), good()];
+    let discovery = Discovery::new(&[("s-0", workers[0].address), ("s-1", workers[1].address)]);
+    let place = Place::new();
+    let start = || {
+        let program = Program::start_at(&place, &discovery, 512, &[ADMIN]);
+        wait_for_readyz(&program);
+        program
+    };
+    let members = |program: &Program| metric(&call(program.admin(), "telemetry"), "members");
+    let mut running = start();
+    assert_eq!(members(&running), 2);
+    discovery.set("s-1", "draining");
+    discovery.set("s-1", "gone");
+    until("its removal", || members(&running) == 1);
+    // The second successor has the name from a predecessor that never saw the worker listed.
+    for _ in 0..2 {
+        let new = start();
+        running.signal("-TERM");
+        assert_eq!(running.wait().code(), Some(0));
+        running = new;
+    }
+    let admin = running.admin();
+    assert!(call(admin, "exclude s-9").starts_with("NO"));
+    let answer = call(admin, "exclude s-1");
+    assert!(answer.starts_with("YES"), "{answer}");
+    discovery.set("s-1", "ready");
+    until("its return to the list", || members(&running) == 2);
+    let send = |id: &str| send_raw(place.listen, &request("transfer", id)).map(|m| m.status());
+    for n in 0..20 {
+        assert_eq!(send(&format!("id-{n}")), Some(200));
+    }
+    assert_eq!(workers[1].count(), 0, "sent to an excluded worker");
+    assert!(call(admin, "include s-1").starts_with("YES"));
+    let mut ids = 0..;
+    until("a job at the included worker", || {
+        let id = ids.next().expect("a number");
+        assert_eq!(send(&format!("later-{id}")), Some(200));
+        workers[1].count() > 0
+    });
+}
