Hand on the backoff and warm-up of departed workers at a second hot restart

Workers that left the list before a hot restart and return after a second one counted as healthy, and their warm-up was judged by the wall clock again.

Cause: a successor keeps the backoffs and starts that it takes over for workers not listed yet, and applies them when they are listed. What it hands over in turn came from its table of listed workers only, and before the names of departed workers were handed over there was no way to ask for the others.

Change: backoff_from and warming_start also return what was taken over and not applied yet. The message keeps its form.

Test: state_of_a_departed_worker_is_handed_on_at_a_second_hot_restart got no backoff from the second process before (left [], right [(3000000, 3)]); it passes now.

No process was seen to send a job it should not: found by reading.

--- a/crates/core/src/state/hot_restart.rs
+++ b/crates/core/src/state/hot_restart.rs
@@ -49,15 +49,23 @@
         }
     }
 
-    /// The backoff from a worker, which may have ended. `None` if the worker is unknown.
+    /// The backoff from a worker, which may have ended, or that of the predecessor if the worker is not
+    /// listed here yet. `None` if neither is known.
     pub(crate) fn backoff_from(&self, worker: WorkerId) -> Option<Backoff> {
-        let index = self.workers.find(worker)?;
-        Some(self.workers[index].health.backoff)
+        match self.workers.find(worker) {
+            Some(index) => Some(self.workers[index].health.backoff),
+            None => self.resumed_backoffs.get(&worker).copied(),
+        }
     }
 
-    /// The start of a worker, if it is still warming up.
+    /// The start of a worker, if it is still warming up. For a worker that is not listed here yet, the start
+    /// that the predecessor knew.
     pub(crate) fn warming_start(&self, worker: WorkerId) -> Option<WorkerStart> {
-        let index = self.workers.find(worker)?;
+        let Some(index) = self.workers.find(worker) else {
+            let start = self.start_times.resumed(worker)?;
+            let age = self.micros_since(start.since);
+            return (age < self.settings.ramp.as_micros_f64()).then_some(start);
+        };
         let listing = &self.workers[index].listing;
         let is_warming_up = self.warm_up_progress(index) < 1.0;
         is_warming_up.then_some(WorkerStart {
--- a/crates/core/src/state/start_times.rs
+++ b/crates/core/src/state/start_times.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// The start of a worker that the predecessor has translated and that no list has named since.
+    pub(crate) fn resumed(&self, worker: WorkerId) -> Option<WorkerStart> {
+        self.resumed.get(&worker).copied()
+    }
+
     /// Translates a worker's start that is seen for the first time now. [`Instant::ZERO`] means long ago.
     ///
     /// The starts in the first list are translated by the wall clock. A start that first appears later must
--- a/crates/core/tests/mechanism/main.rs
+++ b/crates/core/tests/mechanism/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod concurrency_limit;
 mod failing;
+mod hot_restart;
 mod input;
 mod large;
 mod list;
