Wrap and complete comments of the client connections' state

Cause: read once more as a whole, the change had one comment and one test line over 120 columns, two fields without a description, and one sentence that named the request where the response is meant.

--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -31,6 +31,7 @@
     last_byte_at: Cell<Option<Instant>>,
     /// How many requests were passed to hyper, at least in part.
     passed: Cell<u64>,
+    /// How many of these the service has answered.
     answered: Cell<u64>,
     /// When bytes of a response that is not written in full were last written, or when it was ready.
     last_write: Cell<Option<Instant>>,
@@ -42,6 +43,7 @@
     malformed_at: Cell<Option<Instant>>,
     /// No other request can follow the current one on this connection.
     pub close_after_response: Cell<bool>,
+    /// Wakes the reader once the response to the current request is written.
     flush_waker: RefCell<Option<Waker>>,
 }
 
@@ -166,7 +168,7 @@
     }
 
     /// Whether a request has not arrived within [`ARRIVAL_TIMEOUT`], the client has read nothing of a response for as
-    /// long, or malformed bytes have waited too long for the request before them. The first two do not count while a
+    /// long, or malformed bytes have waited too long for the response before them. The first two do not count while a
     /// client waits for its response, as a close would cut that off.
     pub(super) fn overdue(&self, now: Instant) -> bool {
         let long_ago = |since: Option<Instant>| since.is_some_and(|at| now > at + ARRIVAL_TIMEOUT);
--- a/crates/server/src/net/counters/tests.rs
+++ b/crates/server/src/net/counters/tests.rs
@@ -30,7 +30,7 @@
          dead_idle: 0, resets: 0, idle_resets: 0, early_ends: 0, lost_jobs: 0, malformed_lines: 0, \
          wrong_id_lines: 0, no_socket: 0, local_faults: 0, drained_before_send: 0, broken: 0, accept_errors: 0, \
          discovery_calls: 0, discovery_failures: 0, silent_watches: 1, malformed_lists: 0, evicted_clients: 0, \
-         overdue_requests: 0, no_room: 1, unfinished_responses: 0 } Open { requests: 0, held: 0, attempts: 0, slots: 2.5, ids: 4, \
-         body_bytes: 5, backend_sockets: 6, backends: 3 }"
+         overdue_requests: 0, no_room: 1, unfinished_responses: 0 } Open { requests: 0, held: 0, attempts: 0, \
+         slots: 2.5, ids: 4, body_bytes: 5, backend_sockets: 6, backends: 3 }"
     );
 }
--- a/crates/server/src/net/front/clients.rs
+++ b/crates/server/src/net/front/clients.rs
@@ -67,9 +67,9 @@
     /// 3. no request yet, within the grace period.
     ///
     /// A connection is not a candidate while its request is being processed or still arrives, however slowly, or while
-    /// its client still reads the response or waits for the rest of it. The order prevents hundreds of clients that send nothing or partial
-    /// requests from displacing ordinary ones. It also prevents the connection accepted last from being evicted every
-    /// time.
+    /// its client still reads the response or waits for the rest of it. The order prevents hundreds of clients that
+    /// send nothing or partial requests from displacing ordinary ones. It also prevents the connection accepted last
+    /// from being evicted every time.
     fn close_first_ranked(&self, now: Micros) -> bool {
         let instant = tokio::time::Instant::now();
         let rank = |c: &Client, since: Micros| match c.state.transfer(instant) {
