Describe what a hot restart hands over in its module's heading

Cause: one line of the heading was over 120 columns, and a public comment linked to a private constant, which the documentation build denies.

Measured: the documentation of the workspace builds without warnings, formatter and names clean.

--- a/crates/core/src/facade/hot_restart.rs
+++ b/crates/core/src/facade/hot_restart.rs
@@ -92,8 +92,8 @@
         }
     }
 
-    /// Returns the names of workers that have left the endpoint list, as many as fit into
-    /// [`MAX_DEPARTED_NAME_BYTES`]. Operators may exclude these too, and the list does not name them.
+    /// Returns the names of workers that have left the endpoint list, up to a limit on their total length. Operators
+    /// may exclude these too, and the list does not name them.
     #[must_use]
     pub fn departed_workers(&self) -> Vec<Rc<str>> {
         let mut departed = Vec::new();
--- a/crates/server/src/net/hot_restart/mod.rs
+++ b/crates/server/src/net/hot_restart/mod.rs
@@ -1,9 +1,9 @@
 //! Hot restart: a running scheduler passes its listening socket and its state to the process that replaces it.
 //!
 //! The successor connects to a Unix socket in a shared directory and receives the listening socket, the endpoint list,
-//! the names of workers that have left it, and the estimates, backoffs and warm-up times of the predecessor. The connection stays open while both processes
-//! run, so that each notices when the other exits. Meanwhile both accept connections, and divide the limits on
-//! descriptors and memory between them.
+//! the names of workers that have left it, and the estimates, backoffs and warm-up times of the predecessor. The
+//! connection stays open while both processes run, so that each notices when the other exits. Meanwhile both accept
+//! connections, and divide the limits on descriptors and memory between them.
 //!
 //! Every wait for the other process is bounded or runs in a task of its own, so that a process that does not answer
 //! delays neither a start nor requests. State from a process with a different configuration is ignored.
