--- a/crates/server/tests/sockets/stalled_clients.rs
+++ b/crates/server/tests/sockets/stalled_clients.rs
@@ -23,7 +23,7 @@
     Peer::new(|message, stream| done(message, stream, &"x".repeat(RESULT_BYTES)))
 }
 
-/// Connects with a small receive buffer and small segments. Otherwise the system would take a whole response at once.
+/// Connects with a small receive buffer and small segments. Otherwise the system would take a complete response at once.
 fn connect(address: SocketAddr) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
         .expect("failed to create a socket");
@@ -53,8 +53,8 @@
 }
 
 #[track_caller]
-fn assert_whole_response(client: TcpStream) {
-    let response = Message::read(&mut BufReader::new(client)).expect("no whole response");
+fn assert_complete_response(client: TcpStream) {
+    let response = Message::read(&mut BufReader::new(client)).expect("no complete response");
     assert_eq!(
         (response.status(), response.body.len()),
         (200, RESULT_BYTES)
@@ -69,7 +69,7 @@
     let program = Program::start(&Discovery::new(&[("s-1", worker.address)]));
     let client = stalled_client(&program, &request("transfer", "id-1"));
     std::thread::sleep(LONG_PAUSE);
-    assert_whole_response(client);
+    assert_complete_response(client);
 }
 
 /// Guards against the same in a shutdown, which closes connections that make no progress.
@@ -83,7 +83,7 @@
         program.log().contains("closing: ")
     });
     std::thread::sleep(CLOSE_CHECKS);
-    assert_whole_response(client);
+    assert_complete_response(client);
     assert_eq!(program.wait().code(), Some(0));
 }
 
@@ -100,7 +100,7 @@
         200,
         "no place for a new client"
     );
-    assert_whole_response(client);
+    assert_complete_response(client);
 }
 
 /// Guards against connections of clients that never read, which would stay open for good.
