--- /dev/null
+++ b/crates/server/tests/overload/scheduler.rs
@@ -0,0 +1,131 @@
+//! The successive processes of one scheduler, at one address and in one shared directory.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use oakshed_standin::{config, until, Discovery, Place, Program, ADMIN};
+
+use crate::memory::MemoryMonitor;
+use crate::workers::Workers;
+
+/// The limits of a scheduler.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+/// A scheduler whose processes are started, killed and replaced.
+pub struct Scheduler {
+    pub place: Place,
+    pub limits: Limits,
+    pub memory: MemoryMonitor,
+    pub workers: Workers,
+    discovery: Discovery,
+    /// The processes that run, the latest one last.
+    pub processes: Vec<Program>,
+}
+
+/// The program as it is deployed, if it has been built; otherwise the one that is built for the tests.
+fn binary() -> PathBuf {
+    let built_for_tests = Program::binary();
+    let target = built_for_tests.ancestors().nth(2).expect("target folder");
+    let release = target.join("release/oakshed");
+    let modified = |path: &PathBuf| path.metadata().and_then(|m| m.modified()).ok();
+    if modified(&release) >= modified(&built_for_tests) || std::env::var_os("CI").is_some() {
+        return release;
+    }
+    built_for_tests
+}
+
+impl Scheduler {
+    pub fn start(limits: Limits) -> Scheduler {
+        let workers = Workers::start();
+        let place = Place::new();
+        let mut scheduler = Scheduler {
+            memory: MemoryMonitor::start(place.folder.clone()),
+            place,
+            limits,
+            discovery: Discovery::new(&workers.list()),
+            workers,
+            processes: Vec::new(),
+        };
+        scheduler.start_process();
+        scheduler
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.place.listen
+    }
+
+    /// Starts another process, which takes over from one that runs.
+    pub fn start_process(&mut self) {
+        let template = config(
+            self.discovery.peer.address,
+            &self.discovery.known(),
+            self.limits.sockets,
+        );
+        let memory = format!("\"memory_mb\":{}", self.limits.memory_mb);
+        let text = std::fs::read_to_string(&template)
+            .expect("written")
+            .replace("\"memory_mb\":192", &memory)
+            .replace(ADMIN.0, ADMIN.1);
+        _ = std::fs::remove_file(&template);
+        let path = self
+            .place
+            .folder
+            .with_extension(format!("{}.json", self.processes.len()));
+        std::fs::write(&path, text).expect("written");
+        let mut command = Command::new(binary());
+        command
+            .arg("serve")
+            .env("TMPDIR", &self.place.folder)
+            .env("ROUTER_LISTEN", self.place.listen.to_string())
+            .env("ROUTER_DISCOVERY", self.discovery.peer.address.to_string())
+            .env("ROUTER_CONFIG", &path)
+            .env_remove("ROUTER_ADMIN");
+        let program = Program::run(&mut command, path);
+        self.memory.add(program.child.id());
+        let admin = program.admin();
+        self.processes.push(program);
+        until("readiness of the new process", || {
+            oakshed_standin::call(admin, "readyz").starts_with("YES")
+        });
+    }
+
+    /// Kills the oldest process, as the platform does.
+    pub fn kill_oldest(&mut self) {
+        drop(self.processes.remove(0));
+    }
+
+    /// Replaces the running process: the new one takes over, and the old one gets SIGTERM and exits.
+    pub fn hot_restart(&mut self) {
+        self.start_process();
+        let mut old = self.processes.remove(0);
+        old.signal("-TERM");
+        let status = old.wait();
+        assert_eq!(status.code(), Some(0), "{}", old.log());
+    }
+
+    /// Fails if a process has ended, or if all processes together have held more than the limit.
+    #[track_caller]
+    pub fn assert_within_limit(&mut self) {
+        for program in &mut self.processes {
+            let ended = program.child.try_wait().expect("its state");
+            assert_eq!(ended, None, "a process ended: {}", program.log());
+        }
+        let (peak, limit) = (self.memory.peak_kib(), self.limits.memory_mb << 10);
+        println!(
+            "peak {peak} of {limit} KiB, {} sockets",
+            self.limits.sockets
+        );
+        assert!(peak <= limit, "{peak} KiB resident, {limit} KiB allowed");
+    }
+
+    /// The metrics of the latest process.
+    pub fn telemetry(&self) -> String {
+        let latest = self.processes.last().expect("a process");
+        oakshed_standin::call(latest.admin(), "telemetry")
+    }
+}
