--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -233,9 +233,12 @@
 /// Returns the metrics.
 fn telemetry(net: &Net) -> String {
     let members = net.facade.borrow().members();
-    net.request_counts.render(
+    let mut text = net.request_counts.render(
         &net.config.names.classes,
         net.workers.written_attempts(),
         members,
-    ) + "END\n"
+    );
+    net.memory.render(&mut text);
+    net.counters.request_errors.render(&mut text);
+    text + "END\n"
 }
--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -12,6 +12,8 @@
 
 use tokio::time::Instant;
 
+use super::memory::Charge;
+
 /// How long a request may take to arrive from its first byte; the first request starts with the connection.
 pub(super) const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(2_400);
 /// How long a request may still take to be answered once malformed bytes have followed it: the client must get an error
@@ -35,6 +37,8 @@
     answered: Cell<u64>,
     /// When bytes of a response that is not written in full were last written, or when it was ready.
     last_write: Cell<Option<Instant>>,
+    /// The response that is not written in full.
+    response: RefCell<Option<Charge>>,
     /// Until when the client waits for the response to the current request; `None` before that request has arrived.
     response_expected_until: Cell<Option<Instant>>,
     /// The client has sent bytes that are not a valid request.
@@ -55,6 +59,7 @@
             passed: Cell::new(0),
             answered: Cell::new(0),
             last_write: Cell::new(None),
+            response: RefCell::new(None),
             response_expected_until: Cell::new(None),
             malformed: Cell::new(false),
             malformed_at: Cell::new(None),
@@ -103,6 +108,11 @@
         self.answered.set(self.answered.get() + 1);
     }
 
+    /// Attributes the memory of the response until it is written.
+    pub(super) fn charge_response(&self, response: Charge) {
+        *self.response.borrow_mut() = Some(response);
+    }
+
     /// Notes that bytes of a response were written.
     pub(super) fn written(&self) {
         self.last_write.set(Some(Instant::now()));
@@ -113,6 +123,7 @@
         if self.last_write.take().is_none() {
             return;
         }
+        self.response.take();
         if let Some(waker) = self.flush_waker.take() {
             waker.wake();
         }
--- a/crates/server/src/net/counters.rs
+++ b/crates/server/src/net/counters.rs
@@ -14,6 +14,8 @@
 use tracing::info;
 
 use super::durable::DurableJobs;
+use super::memory::Holder;
+use super::request_error::RequestErrorCounters;
 use super::Net;
 use oakshed_core::facade::{InFlightCounts, Tally};
 
@@ -46,6 +48,7 @@
     pub clients: ClientCounters,
     pub workers: WorkerCounters,
     pub discovery: DiscoveryCounters,
+    pub request_errors: RequestErrorCounters,
     invariant_violations: Counter,
 }
 
@@ -124,6 +127,7 @@
             clients,
             workers,
             discovery,
+            request_errors: _,
             invariant_violations,
         } = self;
         f.debug_struct("Counters")
@@ -173,7 +177,7 @@
             counters: &net.counters,
             in_flight: facade.in_flight_counts(),
             open_request_ids: net.open_requests.ids(),
-            body_bytes: net.open_requests.bytes(),
+            body_bytes: net.memory.charged_to(Holder::RequestBodies),
             worker_sockets: net.workers.sockets(),
             jobs: net.durable.as_ref(),
         }
@@ -209,6 +213,8 @@
         let summary = Summary::of(&net).to_string();
         if summary != logged {
             info!("counts: {summary}");
+            info!("memory: {}", net.memory);
+            info!("request errors: {}", net.counters.request_errors);
             logged = summary;
         }
     }
--- a/crates/server/src/net/discovery/tests/fleet.rs
+++ b/crates/server/src/net/discovery/tests/fleet.rs
@@ -59,7 +59,7 @@
     service_time: Duration,
     /// Whether discovery serves calls also after they have timed out, and those that continue a watch without queueing.
     is_overloadable: bool,
-    /// Held by the call that is being served.
+    /// Charge by the call that is being served.
     queue: Rc<Mutex<()>>,
     pub(super) discovery: watch::Sender<DiscoveryStatus>,
     started_at: Instant,
--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -2,7 +2,7 @@
 //!
 //! A request holds its id and the memory for its body until the last reference to its `ForwardedRequest` is dropped.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use rustc_hash::FxHashSet;
 
 use super::answers::REQ_DEADLINE;
+use super::memory::{Charge, Holder, Memory};
 
 /// The part of the configured memory that request bodies may use, as a divisor.
 const BODY_MEMORY_DIVISOR: usize = 8;
@@ -58,29 +59,24 @@
     }
 }
 
-/// The ids of the open requests, and the memory reserved for their bodies and for bodies that are being received.
+/// The ids of the open requests.
 #[derive(Default)]
 pub(crate) struct OpenRequests {
     ids: RefCell<FxHashSet<HeaderValue>>,
-    body_bytes: Cell<usize>,
 }
 
 impl OpenRequests {
     pub(super) fn ids(&self) -> usize {
         self.ids.borrow().len()
     }
-
-    pub(super) fn bytes(&self) -> usize {
-        self.body_bytes.get()
-    }
 }
 
-/// The share of one request in [`OpenRequests`]. It is part of the `ForwardedRequest`, which handler and attempts
+/// The id of one request in [`OpenRequests`], and the memory for its body. It is part of the `ForwardedRequest`, which handler and attempts
 /// share, as an attempt that must not be cancelled outlives its client.
 pub(crate) struct Reservation {
     open: Rc<OpenRequests>,
     id: Option<HeaderValue>,
-    body_bytes: usize,
+    _body: Charge,
 }
 
 impl Reservation {
@@ -88,19 +84,17 @@
     /// at the same time must not exhaust the memory.
     pub(super) fn for_body(
         open: &Rc<OpenRequests>,
-        memory: usize,
-        processes: usize,
+        memory: &Rc<Memory>,
         body_bytes: usize,
     ) -> Option<Reservation> {
-        let total = open.body_bytes.get() + body_bytes;
-        if total > memory / BODY_MEMORY_DIVISOR / processes {
+        let total = memory.charged_to(Holder::RequestBodies) + body_bytes;
+        if total > memory.share() / BODY_MEMORY_DIVISOR {
             return None;
         }
-        open.body_bytes.set(total);
         Some(Reservation {
             open: open.clone(),
             id: None,
-            body_bytes,
+            _body: memory.charge(Holder::RequestBodies, body_bytes),
         })
     }
 
@@ -116,10 +110,8 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let open = &self.open;
-        open.body_bytes.set(open.body_bytes.get() - self.body_bytes);
         if let Some(id) = self.id.take() {
-            open.ids.borrow_mut().remove(&id);
+            self.open.ids.borrow_mut().remove(&id);
         }
     }
 }
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Body;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::super::memory::Holder;
 use super::super::reader::{Reader, MAX_HEAD_BYTES};
 use super::super::transient::{is_transient, peek};
 use super::super::workers::ClientConnection;
@@ -49,6 +51,10 @@
     let client_connection = ClientConnection::new(&stream);
     let service = service_fn(|request| async {
         let mut response = respond(net, client, &client_connection, request).await;
+        let size = response.body().size_hint().lower() as usize;
+        client
+            .state
+            .charge_response(net.memory.charge(Holder::Responses, size));
         if client.state.close_after_response.get()
             || net.shutdown.has_handed_over()
             || net.shutdown.is_closing()
@@ -62,7 +68,11 @@
         clients.limit_idle(net.config.sockets, net.clock.now());
         Ok::<_, Infallible>(response)
     });
-    let reader = TokioIo::new(Reader::new(stream.clone(), client.state.clone()));
+    let reader = TokioIo::new(Reader::new(
+        stream.clone(),
+        client.state.clone(),
+        &net.memory,
+    ));
     let connection = http1::Builder::new()
         .auto_date_header(false)
         .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -16,6 +16,7 @@
 use super::super::answers::{not_allowed, plain_text, rejection};
 use super::super::durable;
 use super::super::forwarded_request::ForwardedRequest;
+use super::super::request_error::RequestError;
 use super::super::workers::{self, Attempt, AttemptDeadlines, AttemptObserver, ClientConnection};
 use super::super::Net;
 use super::clients::Client;
@@ -100,8 +101,7 @@
     } = match read_request(net, accounting.class, arrived, head, body).await {
         Ok(request) => request,
         Err(error) => {
-            net.counters.clients.bad_requests.increment();
-            return error.answer(&net.config.settings, client);
+            return reject_request(net, client, error);
         }
     };
     client.state.arrived();
@@ -113,8 +113,7 @@
         return durable::submit_and_wait(net, &job, forwarded, &options).await;
     }
     if !reservation.claim(&forwarded.id) {
-        net.counters.clients.bad_requests.increment();
-        return plain_text(StatusCode::CONFLICT, "another open req has this Req-Id\n");
+        return reject_request(net, client, RequestError::IdInUse);
     }
     perform_steps(
         net,
@@ -128,6 +127,13 @@
     .await
 }
 
+/// Answers a request that the scheduler does not see, and counts the error.
+fn reject_request(net: &Net, client: &Client, error: RequestError) -> Response<Full<Bytes>> {
+    net.counters.clients.bad_requests.increment();
+    net.counters.request_errors.increment(error);
+    error.answer(&net.config.settings, client)
+}
+
 /// A request that is being processed, and its attempts. hyper drops it early if the client disconnects. The drop closes
 /// the request at the facade, prevents attempts that are still connecting from being sent, and stops the attempts that
 /// the facade names.
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -22,6 +22,7 @@
 };
 use super::super::connection_state::ARRIVAL_TIMEOUT;
 use super::super::forwarded_request::{ForwardedRequest, Reservation};
+use super::super::request_error::RequestError;
 use super::super::{Clock, Net};
 use super::clients::Client;
 use crate::config::Config;
@@ -44,37 +45,6 @@
     names.classes.iter().position(|c| Some(c.as_str()) == class)
 }
 
-/// Why a request is answered with an error before the scheduler sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RequestError {
-    /// The target has no path.
-    NoPath,
-    /// The path names no class.
-    UnknownClass,
-    /// The path has segments after the class and the key.
-    UnknownPath,
-    /// The method is not POST.
-    NotPost,
-    /// `Req-Kind` differs from the class in the path.
-    WrongKind,
-    /// `Req-Id` is missing, empty, repeated, too long or not graphic ASCII.
-    InvalidId,
-    /// The class requires an `Idempotency-Key`, and there is none.
-    NoIdempotencyKey,
-    /// `Req-Deadline-Ms` is not a whole number.
-    InvalidDeadline,
-    /// The body is larger than [`MAX_BODY`].
-    BodyTooLarge,
-    /// Other requests have reserved the memory for bodies.
-    NoMemory,
-    /// The body did not arrive in time.
-    BodyTimeout,
-    /// The body is malformed, or its connection failed.
-    UnreadableBody,
-    /// There is no `Host` field.
-    NoHost,
-}
-
 impl RequestError {
     /// Whether the connection has to close after the response because part of the body may be left unread.
     fn ends_connection(self) -> bool {
@@ -114,6 +84,9 @@
             }
             RequestError::UnreadableBody => bad_request("broken body\n"),
             RequestError::NoHost => bad_request("no Host\n"),
+            RequestError::IdInUse => {
+                plain_text(StatusCode::CONFLICT, "another open req has this Req-Id\n")
+            }
         }
     }
 }
@@ -189,12 +162,7 @@
         return Err(RequestError::BodyTooLarge);
     }
     let expected = size.exact().map_or(MAX_BODY, |length| length as usize);
-    let reservation = Reservation::for_body(
-        &net.open_requests,
-        net.config.memory,
-        net.hot_restart.process_count(),
-        expected,
-    );
+    let reservation = Reservation::for_body(&net.open_requests, &net.memory, expected);
     if reservation.is_none() {
         net.counters.clients.out_of_memory.increment();
     }
--- a/crates/server/src/net/hot_restart/mod.rs
+++ b/crates/server/src/net/hot_restart/mod.rs
@@ -80,9 +80,9 @@
     /// Sets `has_predecessor` or `has_successor`, and adapts the share of the limits.
     fn set(&self, net: &Net, flag: &Cell<bool>, value: bool) {
         flag.set(value);
-        net.facade
-            .borrow_mut()
-            .set_process_count(self.process_count());
+        let processes = self.process_count();
+        net.memory.set_process_count(processes);
+        net.facade.borrow_mut().set_process_count(processes);
     }
 }
 
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -22,9 +22,11 @@
 mod forwarded_request;
 pub mod front;
 mod hot_restart;
+mod memory;
 mod peers;
 mod reader;
 mod reload;
+mod request_error;
 mod serve;
 mod shutdown;
 mod timer;
@@ -67,6 +69,7 @@
     pub discovery: discovery::DiscoveryState,
     pub shutdown: Shutdown,
     pub counters: Counters,
+    pub memory: Rc<memory::Memory>,
     /// Counts of requests by outcome, for the metrics.
     pub request_counts: RequestCounts,
     /// Startup is complete: requests may be served if the endpoint list has ready workers.
@@ -94,6 +97,7 @@
             discovery: discovery::DiscoveryState::new(config.discovery),
             shutdown: Shutdown::new(clock),
             counters: Counters::default(),
+            memory: memory::Memory::new(config.memory),
             request_counts: RequestCounts::new(config.settings.classes.len()),
             started: Cell::new(false),
             open_requests: Rc::default(),
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 
 use super::connection_state::ConnectionState;
+use super::memory::{Charge, Holder, Memory};
 use super::transient::TransientRetry;
 use framing::{parse_framing, Framing};
 
@@ -43,6 +44,7 @@
     state: Rc<ConnectionState>,
     /// Bytes that were received and not yet passed to hyper.
     buffer: BytesMut,
+    charge: Charge,
     /// How many bytes of `buffer` were searched for the end of a head.
     searched: usize,
     /// How many bytes of the current request are still to be passed to hyper; `u64::MAX` where its body is chunked.
@@ -53,11 +55,16 @@
 }
 
 impl Reader {
-    pub(super) fn new(stream: Rc<RefCell<TcpStream>>, state: Rc<ConnectionState>) -> Self {
+    pub(super) fn new(
+        stream: Rc<RefCell<TcpStream>>,
+        state: Rc<ConnectionState>,
+        memory: &Rc<Memory>,
+    ) -> Self {
         Reader {
             stream,
             state,
             buffer: BytesMut::new(),
+            charge: memory.charge(Holder::ClientInput, 0),
             searched: 0,
             remaining: 0,
             discarded: 0,
@@ -194,11 +201,13 @@
             let Reader {
                 stream,
                 buffer,
+                charge,
                 state,
                 read_retry,
                 ..
             } = &mut *self;
             buffer.reserve(READ_CHUNK_BYTES);
+            charge.resize(buffer.capacity());
             let mut stream = stream.borrow_mut();
             if ready!(read_retry.poll(cx, |cx| pin!(stream.read_buf(buffer)).poll(cx)))? == 0 {
                 return Poll::Ready(Ok(()));
--- a/crates/server/src/net/workers/stream_reader.rs
+++ b/crates/server/src/net/workers/stream_reader.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::super::forwarded_request::ForwardedRequest;
+use super::super::memory::Holder;
 use super::super::Net;
 use super::attempt::{AttemptEnd, AttemptObserver, Dispatch};
 use super::connection::Connection;
@@ -22,12 +23,14 @@
         mut body: Incoming,
     ) -> AttemptEnd {
         let mut buffer = BytesMut::new();
+        let mut charge = self.net.memory.charge(Holder::WorkerLines, 0);
         let mut has_started = false;
         while let Some(Ok(frame)) = body.frame().await {
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             buffer.extend_from_slice(&data);
+            charge.resize(buffer.capacity());
             while let Some(line) = next_line(&mut buffer) {
                 match read_line(&self.net, &self.forwarded, &line, has_started) {
                     LineMeaning::Alive { started } => {
