--- a/crates/server/src/net/memory/tests.rs
+++ b/crates/server/src/net/memory/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 #[test]
-fn heap_limit_leaves_room_for_the_program_in_each_process() {
+fn heap_limit_excludes_the_program_of_each_process() {
     let memory = Memory::new(32 << 20);
     let alone = memory.heap_limit();
     assert!(alone + PROGRAM_BYTES < 32 << 20, "{alone}");
