Copy a request's body into one buffer, so that small pieces do not pin read buffers

Callers saw: a scheduler killed for memory while clients wrote slowly or in very small chunks; in the second case nearly all ordinary requests were rejected (219 of 226). Cause: hyper hands out each piece of a body as a slice of its 8 KiB read buffer and then reads into a new one. The body was collected from these slices, so that each byte of a slow body held 8 KiB until the body was complete, against a reservation of one byte. A chunked body reserved 64 KiB from its first byte, and 64 such clients used up the memory for all bodies. Change: pieces are copied into one buffer, whose capacity is reserved as it grows; the last quarter of the bodies' memory is for bodies up to 4 KiB. The body's reception is a module of its own.

--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -18,6 +18,10 @@
 
 /// The part of the configured memory that request bodies may use, as a divisor.
 const BODY_MEMORY_DIVISOR: usize = 8;
+/// The largest body that may use the last part of that memory, in bytes.
+const SMALL_BODY_BYTES: usize = 4 << 10;
+/// That last part, as a divisor.
+const SMALL_BODIES_DIVISOR: usize = 4;
 /// The longest time assumed between a request's arrival in the kernel and its being read, in microseconds. The client's
 /// own deadline starts no later than the arrival.
 const MAX_ARRIVAL_LAG: Micros = 20_000;
@@ -75,27 +79,37 @@
 /// share, as an attempt that must not be cancelled outlives its client.
 pub(crate) struct Reservation {
     open: Rc<OpenRequests>,
+    memory: Rc<Memory>,
     id: Option<HeaderValue>,
-    _body: Charge,
+    body: Charge,
 }
 
 impl Reservation {
-    /// Reserves memory for a body, unless this process's share of the configured memory is used up. Many large bodies
-    /// at the same time must not exhaust the memory.
-    pub(super) fn for_body(
-        open: &Rc<OpenRequests>,
-        memory: &Rc<Memory>,
-        body_bytes: usize,
-    ) -> Option<Reservation> {
-        let total = memory.charged_to(Holder::RequestBodies) + body_bytes;
-        if total > memory.share() / BODY_MEMORY_DIVISOR {
-            return None;
-        }
-        Some(Reservation {
+    /// Reserves nothing yet.
+    pub(super) fn new(open: &Rc<OpenRequests>, memory: &Rc<Memory>) -> Reservation {
+        Reservation {
             open: open.clone(),
+            memory: memory.clone(),
             id: None,
-            _body: memory.charge(Holder::RequestBodies, body_bytes),
-        })
+            body: memory.charge(Holder::RequestBodies, 0),
+        }
+    }
+
+    /// Reserves memory for a body in place of what it has reserved before, unless the bodies' part of the memory is
+    /// used up. The last quarter of it is for small bodies, so that large ones that come slowly do not keep them out.
+    pub(super) fn reserve_body(&mut self, bytes: usize) -> bool {
+        let limit = self.memory.share() / BODY_MEMORY_DIVISOR;
+        let limit = if bytes <= SMALL_BODY_BYTES {
+            limit
+        } else {
+            limit - limit / SMALL_BODIES_DIVISOR
+        };
+        let others = self.memory.charged_to(Holder::RequestBodies) - self.body.bytes();
+        if others + bytes > limit {
+            return false;
+        }
+        self.body.resize(bytes);
+        true
     }
 
     /// Claims an id; returns false if another open request has it, as the worker's response would be ambiguous.
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -131,6 +131,9 @@
 fn reject_request(net: &Net, client: &Client, error: RequestError) -> Response<Full<Bytes>> {
     net.counters.clients.bad_requests.increment();
     net.counters.request_errors.increment(error);
+    if error == RequestError::NoMemory {
+        net.counters.clients.out_of_memory.increment();
+    }
     error.answer(&net.config.settings, client)
 }
 
--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -7,6 +7,7 @@
 //! which this module only carries out.
 
 mod accept;
+mod body;
 mod clients;
 mod connection;
 mod handle;
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -1,15 +1,13 @@
 //! Reads and validates a client request by the platform's client protocol.
 //!
 //! A valid request yields the attributes that the scheduler decides by and the request that is forwarded to a worker.
-//! An invalid one is answered here with an error and never reaches a worker. Memory for a body is reserved before the
-//! body is read.
+//! An invalid one is answered here with an error and never reaches a worker. The body is received in `body`.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -20,10 +18,10 @@
     not_allowed, plain_text, rejection, IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_EXTRA, REQ_ID, REQ_KIND,
     REQ_OWNER,
 };
-use super::super::connection_state::ARRIVAL_TIMEOUT;
 use super::super::forwarded_request::{ForwardedRequest, Reservation};
 use super::super::request_error::RequestError;
-use super::super::{Clock, Net};
+use super::super::Net;
+use super::body::receive_body;
 use super::clients::Client;
 use crate::config::Config;
 use oakshed_core::facade::{Job, Micros, Settings};
@@ -31,14 +29,8 @@
 use oakshed_core::names;
 use oakshed_wire::Names;
 
-/// The largest request body, in bytes.
-const MAX_BODY: usize = 64 << 10;
 /// The longest `Req-Id`, in bytes.
 const MAX_ID_LENGTH: usize = 128;
-/// How long a body may take to arrive. Shorter than the time for the whole request, so that the client gets a response
-/// before its connection is closed as overdue.
-const BODY_TIMEOUT: Duration = ARRIVAL_TIMEOUT.saturating_sub(Duration::from_millis(200));
-
 /// Returns the class that the first path segment names.
 pub(super) fn class_of(names: &Names, head: &Parts) -> Option<usize> {
     let class = head.uri.path().split('/').nth(1);
@@ -123,8 +115,7 @@
     let timeout = client_timeout(&net.config.settings, class, &fields)?;
     let deadline = arrived + timeout;
     let mut job = scheduler_job(&net.config.names, class, key, &fields);
-    let reservation = reserve(net, &body)?;
-    let body = read_body(&net.clock, deadline, body).await?;
+    let (body, reservation) = receive_body(net, net.clock.instant(deadline), body).await?;
     let now = net.clock.now();
     job.remaining = deadline.saturating_sub(now);
     let headers = take_forwarded_fields(&mut fields);
@@ -155,20 +146,6 @@
     })
 }
 
-/// Reserves memory for a body: its declared length, or [`MAX_BODY`] if that is not known.
-fn reserve(net: &Net, body: &Incoming) -> Result<Reservation, RequestError> {
-    let size = body.size_hint();
-    if size.lower() > MAX_BODY as u64 {
-        return Err(RequestError::BodyTooLarge);
-    }
-    let expected = size.exact().map_or(MAX_BODY, |length| length as usize);
-    let reservation = Reservation::for_body(&net.open_requests, &net.memory, expected);
-    if reservation.is_none() {
-        net.counters.clients.out_of_memory.increment();
-    }
-    reservation.ok_or(RequestError::NoMemory)
-}
-
 /// Parses a path of the form `/CLASS` or `/CLASS/KEY`; returns the class, and the hash of the key if there is one.
 fn parse_path(
     target: &PathAndQuery,
@@ -262,18 +239,6 @@
     }
 }
 
-/// Reads the whole body until the deadline, at most for [`BODY_TIMEOUT`].
-async fn read_body(clock: &Clock, deadline: Micros, body: Incoming) -> Result<Bytes, RequestError> {
-    let body = Limited::new(body, MAX_BODY).collect();
-    let time_limit = clock.instant(deadline).min(Instant::now() + BODY_TIMEOUT);
-    match tokio::time::timeout_at(time_limit, body).await {
-        Err(_) => Err(RequestError::BodyTimeout),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(_)) => Err(RequestError::UnreadableBody),
-    }
-}
-
 /// Takes out the fields that are forwarded to the worker unchanged.
 fn take_forwarded_fields(fields: &mut HeaderMap) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(8);
--- a/crates/server/src/net/memory/mod.rs
+++ b/crates/server/src/net/memory/mod.rs
@@ -116,6 +116,11 @@
         total.set(total.get() - self.bytes + bytes);
         self.bytes = bytes;
     }
+
+    /// How many bytes are held.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
 }
 
 impl Drop for Charge {
