--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -168,11 +168,14 @@
     let outcome = match words.as_slice() {
         ["readyz"] => ready(net),
         ["telemetry"] => return telemetry(net),
+        ["memory"] => return memory(net),
         ["exclude", id] => exclude(net, id),
         ["include", id] => include(net, id),
         [] => Err(CommandError::Empty),
         ["exclude" | "include"] => Err(CommandError::MissingId),
-        ["readyz" | "telemetry" | "exclude" | "include", ..] => Err(CommandError::TooManyArguments),
+        ["readyz" | "telemetry" | "memory" | "exclude" | "include", ..] => {
+            Err(CommandError::TooManyArguments)
+        }
         _ => Err(CommandError::Unknown),
     };
     match outcome {
@@ -233,11 +236,16 @@
 /// Returns the metrics.
 fn telemetry(net: &Net) -> String {
     let members = net.facade.borrow().members();
-    let mut text = net.request_counts.render(
+    net.request_counts.render(
         &net.config.names.classes,
         net.workers.written_attempts(),
         members,
-    );
+    ) + "END\n"
+}
+
+/// Returns what holds memory, and why requests were answered with errors.
+fn memory(net: &Net) -> String {
+    let mut text = String::new();
     net.memory.render(&mut text);
     net.counters.request_errors.render(&mut text);
     text + "END\n"
--- a/crates/server/tests/overload/memory_limit.rs
+++ b/crates/server/tests/overload/memory_limit.rs
@@ -28,7 +28,7 @@
     std::thread::sleep(CROWD_TIME / 2);
     events(&mut scheduler);
     std::thread::sleep(CROWD_TIME / 2);
-    println!("{}", scheduler.telemetry());
+    println!("{}", scheduler.memory_figures());
     let outcomes = ordinary.finish();
     drop(crowd);
     scheduler.assert_within_limit();
--- a/crates/server/tests/overload/scheduler.rs
+++ b/crates/server/tests/overload/scheduler.rs
@@ -123,9 +123,9 @@
         assert!(peak <= limit, "{peak} KiB resident, {limit} KiB allowed");
     }
 
-    /// The metrics of the latest process.
-    pub fn telemetry(&self) -> String {
+    /// What holds the latest process's memory.
+    pub fn memory_figures(&self) -> String {
         let latest = self.processes.last().expect("a process");
-        oakshed_standin::call(latest.admin(), "telemetry")
+        oakshed_standin::call(latest.admin(), "memory")
     }
 }
