Write bodies without a copy in hyper's buffers, which keep their size

Callers saw: a scheduler killed for memory after large results, even once all of them were read. Cause: for a stream without vectored writes hyper copies each body behind its head into a buffer of the connection, which grows to the body's size and stays so. Its read buffer for a worker grew to 64 KiB and stayed so. Some 500 connections kept up to 128 KiB each. The fields that are forwarded were slices of the read buffer, which an open request thereby kept from being used again. Change: both streams take vectored writes, and write small messages by one call as before, so that no other system call is used than before; the read buffer for a worker is 16 KiB at most; forwarded fields are copies.

--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -103,7 +103,8 @@
     head: Parts,
     body: Incoming,
 ) -> Result<ArrivedRequest, RequestError> {
-    let Some(target) = head.uri.path_and_query().cloned() else {
+    let target = head.uri.path_and_query().map(|target| target.as_str());
+    let Some(Ok(target)) = target.map(PathAndQuery::try_from) else {
         return Err(RequestError::NoPath);
     };
     let (class, key) = parse_path(&target, class)?;
@@ -185,7 +186,12 @@
     if keyed && !fields.contains_key(&IDEMPOTENCY_KEY) {
         return Err(RequestError::NoIdempotencyKey);
     }
-    Ok(id)
+    Ok(own_copy(&id))
+}
+
+/// Copies a value, which is otherwise a slice of the connection's read buffer and keeps all of it allocated.
+fn own_copy(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
 }
 
 /// Returns the value of a field if it is visible ASCII.
@@ -239,7 +245,7 @@
     }
 }
 
-/// Takes out the fields that are forwarded to the worker unchanged.
+/// Takes out the fields that are forwarded to the worker unchanged, as copies of their own.
 fn take_forwarded_fields(fields: &mut HeaderMap) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(8);
     for name in [
@@ -250,7 +256,7 @@
         REQ_KIND.clone(),
     ] {
         if let Some(value) = fields.remove(&name) {
-            headers.insert(name, value);
+            headers.insert(name, own_copy(&value));
         }
     }
     headers
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod admin;
 mod answers;
 mod clock;
+mod coalesce;
 mod connection_state;
 mod counters;
 pub mod workers;
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -14,7 +14,7 @@
 
 use std::cell::RefCell;
 use std::future::Future;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -23,6 +23,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::coalesce::Scratch;
 use super::connection_state::ConnectionState;
 use super::memory::{Charge, Holder, Memory};
 use super::transient::TransientRetry;
@@ -235,6 +236,18 @@
         Poll::Ready(Ok(n))
     }
 
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write(cx, Scratch::new().coalesce(buffers))
+    }
+
     /// Called by hyper once everything that it had to write is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.state.flushed();
--- a/crates/server/src/net/workers/connection.rs
+++ b/crates/server/src/net/workers/connection.rs
@@ -5,7 +5,7 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,18 +21,22 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Duration};
 
+use super::super::coalesce::Scratch;
 use super::super::transient::{is_transient, peek, TransientRetry};
 use super::super::{shutdown_write, Net};
 use super::client::Cancellation;
 use super::deadline::DeadlineField;
 use super::fault::is_local_fault;
-use super::stream::MAX_LINE_BYTES;
 use super::write_guard::{begin_deadline, WriteGuard};
 use oakshed_core::facade::Micros;
 
 /// The pause after a local fault, before jitter.
 const LOCAL_FAULT_PAUSE: Duration = Duration::from_millis(10);
 
+/// The size limit of hyper's read buffer for each connection, in bytes, which bounds the memory that response headers
+/// can take and that an idle connection keeps.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 /// A place in the socket budget, which is freed on drop.
 pub(super) struct SocketSlot(Rc<Cell<usize>>);
 
@@ -137,6 +141,18 @@
         Poll::Ready(Ok(n))
     }
 
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write(cx, Scratch::new().coalesce(buffers))
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
@@ -189,7 +205,7 @@
             read_retry: TransientRetry::default(),
             write_retry: TransientRetry::default(),
         });
-        let handshake = Builder::new().max_buf_size(MAX_LINE_BYTES).handshake(io);
+        let handshake = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(io);
         let (sender, driver) = handshake.await?;
         let task = tokio::task::spawn_local(async move { _ = driver.await });
         Ok(Connection {
--- a/crates/server/src/net/workers/stream.rs
+++ b/crates/server/src/net/workers/stream.rs
@@ -10,8 +10,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-/// The size limit of a line of a job stream, and of hyper's buffer for each connection, which bounds the memory that
-/// response headers can take. No body on the platform is longer.
+/// The size limit of a line of a job stream. No body on the platform is longer.
 pub(super) const MAX_LINE_BYTES: usize = 64 << 10;
 
 static SRV_LOAD: HeaderName = HeaderName::from_static("srv-load");
