Keep places for ordinary clients while slow, unread or pipelined ones occupy connections

Callers saw: beside 600 clients that write byte by byte ordinary answers after 2.2 s in the median, 3.2 s beside bodies that never end; beside clients that pipeline and read nothing 13 of 226 ordinary requests got no answer in 5.5 s. Cause: a request that still arrives, a response for which its client may still wait, and a connection with further pipelined requests were never evicted, whatever number there were: up to 2.4 s, 5.5 s and thirty requests' time each, while new connections waited in the accept queue. Change: the order of eviction is a module of its own. Requests that have been arriving for 50 ms are evicted, the oldest first, once they occupy over a quarter of the connections; idle connections then only after 1 s; responses of which nothing could be written for 1 s last, once they occupy over half. A pipelined request is rejected with 503 while new connections wait for a place, so that its connection gets idle; none is dropped.

--- a/crates/server/src/net/connection_state.rs
+++ b/crates/server/src/net/connection_state.rs
@@ -25,6 +25,22 @@
 /// How long after its deadline a client may still accept a response.
 const RESPONSE_GRACE: Duration = Duration::from_millis(500);
 
+/// From when on a request that still arrives counts as slow.
+const SLOW_AFTER: Duration = Duration::from_millis(50);
+/// From when on a response of which nothing could be written counts as stalled for its client too.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Whether a connection is evicted although a request or response makes progress or is awaited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Eviction {
+    #[default]
+    None,
+    /// Its request arrives slowly.
+    SlowRequest,
+    /// Its response is not read.
+    StalledResponse,
+}
+
 /// The incomplete request and response of a connection, and its malformed input.
 pub(super) struct ConnectionState {
     /// When the request that has not arrived in full started.
@@ -47,6 +63,12 @@
     malformed_at: Cell<Option<Instant>>,
     /// No other request can follow the current one on this connection.
     pub close_after_response: Cell<bool>,
+    /// Bytes of the next request have arrived before the response to the current one was written.
+    pub has_next: Cell<bool>,
+    /// The current request was pipelined.
+    pipelined: Cell<bool>,
+    /// Why the connection is evicted; it is served on if that has changed by then.
+    pub evicted: Cell<Eviction>,
     /// Wakes the reader once the response to the current request is written.
     flush_waker: RefCell<Option<Waker>>,
 }
@@ -64,6 +86,9 @@
             malformed: Cell::new(false),
             malformed_at: Cell::new(None),
             close_after_response: Cell::new(false),
+            has_next: Cell::new(false),
+            pipelined: Cell::new(false),
+            evicted: Cell::default(),
             flush_waker: RefCell::new(None),
         }
     }
@@ -87,6 +112,7 @@
     /// Notes that the head of a request is complete, and passed to hyper.
     pub(super) fn passed(&self) {
         self.response_expected_until.set(None);
+        self.pipelined.set(self.has_next.take());
         self.passed.set(self.passed.get() + 1);
     }
 
@@ -164,6 +190,35 @@
         self.has_pending_response() && expected_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the current request arrived before the response to the one before it was written.
+    pub(super) fn is_pipelined(&self) -> bool {
+        self.pipelined.get()
+    }
+
+    /// Whether a request has begun to arrive, and has not arrived for a while.
+    pub(super) fn is_request_slow(&self, now: Instant) -> bool {
+        let started = self
+            .started_at
+            .get()
+            .filter(|_| self.last_byte_at.get().is_some());
+        started.is_some_and(|at| now > at + SLOW_AFTER)
+    }
+
+    /// Whether nothing of a response could be written for a while, even if its client waits for it.
+    pub(super) fn is_response_stalled(&self, now: Instant) -> bool {
+        let last_write = self.last_write.get();
+        last_write.is_some_and(|at| now > at + RESPONSE_STALL_TIMEOUT)
+    }
+
+    /// Whether the reason for which the connection is evicted still holds.
+    pub(super) fn is_eviction_due(&self, now: Instant) -> bool {
+        match self.evicted.get() {
+            Eviction::None => false,
+            Eviction::SlowRequest => self.is_request_slow(now),
+            Eviction::StalledResponse => self.is_response_stalled(now),
+        }
+    }
+
     /// Whether a response is not written in full.
     pub(super) fn has_pending_response(&self) -> bool {
         self.last_write.get().is_some()
--- a/crates/server/src/net/front/clients.rs
+++ b/crates/server/src/net/front/clients.rs
@@ -1,8 +1,8 @@
 //! The table of client connections, and the choice of those to evict.
 //!
-//! A connection is not evicted while a request on it is being processed, while a request arrives or a response is
-//! written and makes progress, or while its client waits for a response that is not written in full. A connection whose
-//! request takes too long in all, or whose response its client no longer waits for, is closed regardless.
+//! A connection is not evicted while a request on it is being processed, or while its response is written and makes
+//! progress. The order among the others is in `eviction`. A connection whose request takes too long in all, or whose
+//! response its client no longer waits for, is closed regardless.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -11,19 +11,22 @@
 use oakshed_core::facade::Micros;
 use tokio::sync::Notify;
 
-use super::super::connection_state::ConnectionState;
+use super::super::connection_state::{ConnectionState, Eviction};
 use super::super::Net;
+use super::eviction::{Crowding, EvictionRank};
 
 /// How long a new connection has to send its first request before it ranks first for eviction, and how long a used one
 /// must have been idle before [`Clients::limit_idle`] closes it; in microseconds.
-const GRACE_PERIOD: Micros = 200_000;
+pub(super) const GRACE_PERIOD: Micros = 200_000;
 /// How long a connection must have been idle to be closed when descriptors run out, in microseconds. Its client is
 /// then unlikely to be about to use it.
-const IDLE_THRESHOLD: Micros = 1_000_000;
+pub(super) const IDLE_THRESHOLD: Micros = 1_000_000;
 /// How many lingering connections may hold descriptors beyond the clients' share. These come out of the reserve for
 /// connections that are being closed. Beyond this number, the oldest is closed early when a new connection needs its
 /// place.
 const LINGERING_ALLOWANCE: usize = 4;
+/// For how long connections count as crowded after a new one had to wait for a place, in microseconds.
+const CROWDED_PERIOD: Micros = 100_000;
 /// The interval between two checks for overdue connections.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -47,6 +50,18 @@
         self.close_requested.set(true);
         self.close.notify_one();
     }
+
+    /// Asks the connection to close although its request still arrives, unless the rest of it has arrived by then.
+    fn evict_slow(&self) {
+        self.state.evicted.set(Eviction::SlowRequest);
+        self.request_close();
+    }
+
+    /// Asks the connection to close although its client may still wait for the rest of the response.
+    fn evict_stalled(&self) {
+        self.state.evicted.set(Eviction::StalledResponse);
+        self.request_close();
+    }
 }
 
 /// All open client connections.
@@ -55,41 +70,35 @@
     pub(super) open: RefCell<Vec<Rc<Client>>>,
     /// Notified when a connection closes, begins to linger or declines its eviction.
     pub(super) changed: Notify,
+    /// When new connections last had to wait for a place.
+    last_crowded_at: Cell<Option<Micros>>,
 }
 
 impl Clients {
     /// Asks the connection that ranks first for eviction to close; returns whether there was one. Within a rank, the
-    /// one that has been idle longest comes first. The ranks are:
+    /// one that has been idle longest comes first.
     ///
-    /// 0. no request yet, after the grace period;
-    /// 1. a partial request that makes no progress, or such a response for which no client waits any more;
-    /// 2. idle between requests;
-    /// 3. no request yet, within the grace period.
-    ///
-    /// A connection is not a candidate while its request is being processed or still arrives, however slowly, or while
-    /// its client still reads the response or waits for the rest of it. The order prevents hundreds of clients that
-    /// send nothing or partial requests from displacing ordinary ones. It also prevents the connection accepted last
-    /// from being evicted every time.
-    fn close_first_ranked(&self, now: Micros) -> bool {
-        let instant = tokio::time::Instant::now();
-        let rank = |c: &Client, since: Micros| match c.state.transfer(instant) {
-            Some(true) => None,
-            Some(false) => Some(1),
-            None if c.has_sent_request.get() => Some(2),
-            None if now > since + GRACE_PERIOD => Some(0),
-            None => Some(3),
-        };
+    /// A connection is not a candidate while its request is being processed, or while its client still reads the
+    /// response. The order prevents hundreds of clients that send nothing or partial requests from displacing ordinary
+    /// ones. It also prevents the connection accepted last from being evicted every time.
+    fn close_first_ranked(&self, now: Micros, share: usize) -> bool {
         let open = self.open.borrow();
-        let remaining = open.iter().filter(|c| !c.close_requested.get());
+        let remaining = || open.iter().filter(|c| !c.close_requested.get());
+        let crowding = Crowding::of(remaining().map(Rc::as_ref), share);
         let ranked = |c: &Rc<Client>| {
-            c.idle_since
-                .get()
-                .and_then(|since| Some((rank(c, since)?, since)))
+            let since = c.idle_since.get()?;
+            Some((crowding.rank(c, now, since)?, since))
         };
-        let first = remaining
+        let first = remaining()
             .filter_map(|c| Some((ranked(c)?, c)))
             .min_by_key(|(key, _)| *key);
-        first.map(|(_, client)| client.request_close()).is_some()
+        match first {
+            Some(((EvictionRank::SlowRequest, _), client)) => client.evict_slow(),
+            Some(((EvictionRank::StalledResponse, _), client)) => client.evict_stalled(),
+            Some((_, client)) => client.request_close(),
+            None => return false,
+        }
+        true
     }
 
     /// Asks the connection that has been idle longest to close, if that is longer than [`IDLE_THRESHOLD`]. Connections
@@ -128,11 +137,22 @@
 
     /// Evicts one connection unless an earlier request to close is still pending; returns whether one was asked to
     /// close.
-    pub(super) fn evict_one(&self, now: Micros) -> bool {
+    pub(super) fn evict_one(&self, now: Micros, share: usize) -> bool {
         let is_closing =
             |c: &Rc<Client>| c.close_requested.get() && c.lingering_since.get().is_none();
         let close_pending = self.open.borrow().iter().any(is_closing);
-        !close_pending && self.close_first_ranked(now)
+        !close_pending && self.close_first_ranked(now, share)
+    }
+
+    /// Notes that new connections have to wait for a place.
+    pub(super) fn on_crowded(&self, now: Micros) {
+        self.last_crowded_at.set(Some(now));
+    }
+
+    /// Whether new connections had to wait for a place within [`CROWDED_PERIOD`].
+    pub(super) fn is_crowded(&self, now: Micros) -> bool {
+        let last = self.last_crowded_at.get();
+        last.is_some_and(|at| now < at + CROWDED_PERIOD)
     }
 
     pub(super) async fn all_closed(&self) {
--- a/crates/server/src/net/front/connection.rs
+++ b/crates/server/src/net/front/connection.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::super::connection_state::Eviction;
 use super::super::memory::Holder;
 use super::super::reader::{Reader, MAX_HEAD_BYTES};
 use super::super::transient::{is_transient, peek};
@@ -50,7 +51,7 @@
 ) {
     let client_connection = ClientConnection::new(&stream);
     let service = service_fn(|request| async {
-        let mut response = respond(net, client, &client_connection, request).await;
+        let mut response = respond(net, clients, client, &client_connection, request).await;
         let size = response.body().size_hint().lower() as usize;
         client
             .state
@@ -121,6 +122,7 @@
             return CloseCause::Requested;
         }
         // A request has arrived meanwhile, at least in part, so another connection has to be chosen.
+        client.state.evicted.set(Eviction::None);
         client.close_requested.set(false);
         clients.changed.notify_one();
     }
@@ -166,6 +168,7 @@
     };
     client.idle_since.get().is_some()
         && (client.state.overdue(now)
+            || client.state.is_eviction_due(now) && !may_have_unread_bytes()
             || client.state.transfer(now) != Some(true) && !may_have_unread_bytes())
 }
 
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -19,7 +19,7 @@
 use super::super::request_error::RequestError;
 use super::super::workers::{self, Attempt, AttemptDeadlines, AttemptObserver, ClientConnection};
 use super::super::Net;
-use super::clients::Client;
+use super::clients::{Client, Clients};
 use super::request::{class_of, read_request, ArrivedRequest};
 use oakshed_core::facade::{Ending, Handle, Job, Micros, Observation, Report, Step};
 use oakshed_core::figures::{PendingRequest, RequestOutcome};
@@ -27,6 +27,7 @@
 /// Routes a request by its path, answers it, and counts its outcome.
 pub(super) async fn respond(
     net: &Rc<Net>,
+    clients: &Clients,
     client: &Client,
     connection: &ClientConnection,
     request: Request<Incoming>,
@@ -51,7 +52,17 @@
         class,
         entry: RefCell::new(None),
     };
-    let response = answer(net, client, connection, &accounting, arrived, (head, body)).await;
+    let may_wait = || !(client.state.is_pipelined() && clients.is_crowded(net.clock.now()));
+    let response = answer(
+        net,
+        client,
+        connection,
+        &accounting,
+        may_wait,
+        arrived,
+        (head, body),
+    )
+    .await;
     let end = match response.status() {
         StatusCode::OK => RequestOutcome::Completed,
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => RequestOutcome::Rejected,
@@ -83,12 +94,13 @@
     }
 }
 
-/// Reads a request, then processes it as a durable job or as a plain request.
+/// Reads a request, then processes it as a durable job or as a plain request; rejects one that may not wait.
 async fn answer(
     net: &Rc<Net>,
     client: &Client,
     connection: &ClientConnection,
     accounting: &Accounting<'_>,
+    may_wait: impl Fn() -> bool,
     arrived: Micros,
     (head, body): (Parts, Incoming),
 ) -> Response<Full<Bytes>> {
@@ -109,6 +121,9 @@
     accounting.on_arrived();
     client.has_sent_request.set(true);
     client.idle_since.set(None);
+    if !may_wait() {
+        return reject_request(net, client, RequestError::Pipelined);
+    }
     if net.durable.is_some() {
         return durable::submit_and_wait(net, &job, forwarded, &options).await;
     }
--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -10,6 +10,7 @@
 mod body;
 mod clients;
 mod connection;
+mod eviction;
 mod handle;
 mod lingering_close;
 mod request;
@@ -67,7 +68,8 @@
     loop {
         // At the limit, nothing is accepted until a connection has closed or been evicted.
         while !clients.has_capacity(net.socket_share()) {
-            if clients.evict_one(net.clock.now()) {
+            clients.on_crowded(net.clock.now());
+            if clients.evict_one(net.clock.now(), net.socket_share()) {
                 net.counters.clients.evicted.increment();
             }
             tokio::select! {
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -67,7 +67,7 @@
             RequestError::BodyTooLarge => {
                 plain_text(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")
             }
-            RequestError::NoMemory => {
+            RequestError::NoMemory | RequestError::Pipelined => {
                 let wait = (settings.max_retry_after / 2).as_micros();
                 rejection(settings.retry_after.then_some(wait))
             }
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -196,6 +196,7 @@
                 {
                     self.reject_following();
                 }
+                self.state.has_next.set(!self.buffer.is_empty());
                 self.state.wake_when_flushed(cx.waker());
                 self.discard_excess()?;
             }
--- a/crates/server/src/net/request_error.rs
+++ b/crates/server/src/net/request_error.rs
@@ -35,11 +35,13 @@
     NoHost,
     /// Another open request has the same id.
     IdInUse,
+    /// It was pipelined, while other clients wait for a connection.
+    Pipelined,
 }
 
 impl RequestError {
     /// All errors with their names in the metrics and in the log, in the order of the variants.
-    const NAMES: [&'static str; 14] = [
+    const NAMES: [&'static str; 15] = [
         "no_path",
         "unknown_class",
         "unknown_path",
@@ -54,6 +56,7 @@
         "unreadable_body",
         "no_host",
         "id_in_use",
+        "pipelined",
     ];
 }
 
