Tie what clients and workers hold to limits.memory_mb as a sum

Each holder had a bound of its own, by descriptors or by size, or none; only bodies were tied to the limit. 64 KiB of an unfinished line in a buffer that doubles, 32 KiB of pipelined input, a response, and two connections with their buffers, times the connections of 1,024 descriptors, are several times 32 MB, and a hot restart doubles the program. Change: the budget is for the live bytes of the heap, which the allocator counts, so that no holder is left out: a share by the number of processes, less the program and that of a successor, less fragmentation. Requests are admitted by it with their body and the result expected of their class, small ones to a higher level; an answer that exceeds it is given up at once; the numbers of connections on both sides follow from it; input is read ahead and lists are read by it; lines grow by what arrives; idle connections to workers are closed first, and freed pages are returned to the system. A connection that is not read is checked for a disconnect every 50 ms.

--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -4,6 +4,7 @@
 //! connected. At the limit, connections that have sent no command yet are closed in favour of new ones. Jobs are not
 //! accepted here.
 
+use std::fmt::Write as _;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -247,6 +248,11 @@
 fn memory(net: &Net) -> String {
     let mut text = String::new();
     net.memory.render(&mut text);
+    _ = writeln!(
+        text,
+        "edge_router.memory.abandoned_answers:{}|c",
+        net.counters.workers.no_memory.get()
+    );
     net.counters.request_errors.render(&mut text);
     text + "END\n"
 }
--- a/crates/server/src/net/counters.rs
+++ b/crates/server/src/net/counters.rs
@@ -90,6 +90,8 @@
     pub malformed_lines: Counter,
     /// Lines of a response stream that have the id of another request.
     pub wrong_id_lines: Counter,
+    /// Attempts that were given up because their answer exceeded the memory budget.
+    pub no_memory: Counter,
     /// Attempts that failed because no file descriptor was free.
     pub no_socket: Counter,
     /// Connections that failed because of a fault of the local machine.
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -229,9 +229,12 @@
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES)
-            .collect()
-            .await;
+        let body = Limited::new(
+            response.into_body(),
+            MAX_LIST_BYTES.min(self.net.memory.list_limit()),
+        )
+        .collect()
+        .await;
         let body = body.map_err(CallError::Body)?;
         let mut answer = Answer::parse(&body.to_bytes()).map_err(|e| {
             self.net.counters.discovery.malformed_lists.increment();
--- a/crates/server/src/net/durable/mod.rs
+++ b/crates/server/src/net/durable/mod.rs
@@ -344,7 +344,7 @@
             id: req_id.unwrap_or_else(|| HeaderValue::from_static("-")),
             body: Bytes::copy_from_slice(&payload.body),
             deadline: until,
-            _reservation: None,
+            reservation: None,
         }
     }
 
--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -14,7 +14,7 @@
 use rustc_hash::FxHashSet;
 
 use super::answers::REQ_DEADLINE;
-use super::memory::{Charge, Holder, Memory};
+use super::memory::{Charge, ExpectedResult, Holder, Memory};
 
 /// The part of the configured memory that request bodies may use, as a divisor.
 const BODY_MEMORY_DIVISOR: usize = 8;
@@ -44,11 +44,16 @@
     pub body: Bytes,
     /// When the client gives up, or this process has to exit.
     pub deadline: Micros,
-    /// Releases the id and the memory for the body when dropped.
-    pub _reservation: Option<Reservation>,
+    /// Releases the id and the memory for body and result when dropped. `None` for durable jobs.
+    pub reservation: Option<Reservation>,
 }
 
 impl ForwardedRequest {
+    /// The memory reserved for the result.
+    pub(super) fn expected_result(&self) -> Option<&ExpectedResult> {
+        self.reservation.as_ref().map(|r| &r.result)
+    }
+
     /// Builds the HTTP request to a worker, with the deadline that applies now.
     pub(super) fn request(&self, now: Micros) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut request = Request::builder()
@@ -82,21 +87,30 @@
     memory: Rc<Memory>,
     id: Option<HeaderValue>,
     body: Charge,
+    result: ExpectedResult,
 }
 
 impl Reservation {
-    /// Reserves nothing yet.
-    pub(super) fn new(open: &Rc<OpenRequests>, memory: &Rc<Memory>) -> Reservation {
-        Reservation {
+    /// Admits a request of a class with a body of the declared length, if the memory budget allows it, and reserves the
+    /// memory for its result.
+    pub(super) fn admit(
+        open: &Rc<OpenRequests>,
+        memory: &Rc<Memory>,
+        class: usize,
+        declared_bytes: usize,
+    ) -> Option<Reservation> {
+        let result = ExpectedResult::admit(memory, class, declared_bytes)?;
+        Some(Reservation {
             open: open.clone(),
             memory: memory.clone(),
             id: None,
             body: memory.charge(Holder::RequestBodies, 0),
-        }
+            result,
+        })
     }
 
-    /// Reserves memory for a body in place of what it has reserved before, unless the bodies' part of the memory is
-    /// used up. The last quarter of it is for small bodies, so that large ones that come slowly do not keep them out.
+    /// Reserves memory for a body in place of what was reserved for it before, unless the bodies' part of the memory, or
+    /// all of it, is used up. The last quarter of it is for small bodies, so that large ones that come slowly do not keep them out.
     pub(super) fn reserve_body(&mut self, bytes: usize) -> bool {
         let limit = self.memory.share() / BODY_MEMORY_DIVISOR;
         let limit = if bytes <= SMALL_BODY_BYTES {
@@ -105,7 +119,8 @@
             limit - limit / SMALL_BODIES_DIVISOR
         };
         let others = self.memory.charged_to(Holder::RequestBodies) - self.body.bytes();
-        if others + bytes > limit {
+        let growth = bytes.saturating_sub(self.body.bytes());
+        if others + bytes > limit || !self.memory.can_admit(growth) {
             return false;
         }
         self.body.resize(bytes);
--- a/crates/server/src/net/front/body.rs
+++ b/crates/server/src/net/front/body.rs
@@ -32,6 +32,7 @@
 /// length, or what has arrived if that is not known.
 pub(super) async fn receive_body(
     net: &Net,
+    class: usize,
     deadline: Instant,
     body: Incoming,
 ) -> Result<(Bytes, Reservation), RequestError> {
@@ -40,7 +41,8 @@
         return Err(RequestError::BodyTooLarge);
     }
     let declared = size.exact().map_or(0, |length| length as usize);
-    let reservation = Reservation::new(&net.open_requests, &net.memory);
+    let reservation = Reservation::admit(&net.open_requests, &net.memory, class, declared)
+        .ok_or(RequestError::NoMemory)?;
     let mut buffer = BodyBuffer {
         bytes: Vec::new(),
         pieces: 0,
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -135,7 +135,7 @@
         connection,
         &job,
         Rc::new(ForwardedRequest {
-            _reservation: Some(reservation),
+            reservation: Some(reservation),
             ..forwarded
         }),
     )
--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -67,9 +67,9 @@
     let mut backoff = AcceptBackoff::default();
     loop {
         // At the limit, nothing is accepted until a connection has closed or been evicted.
-        while !clients.has_capacity(net.socket_share()) {
+        while !clients.has_capacity(net.client_share()) {
             clients.on_crowded(net.clock.now());
-            if clients.evict_one(net.clock.now(), net.socket_share()) {
+            if clients.evict_one(net.clock.now(), net.client_share()) {
                 net.counters.clients.evicted.increment();
             }
             tokio::select! {
@@ -119,7 +119,7 @@
             Ok(Ok((stream, _))) => {
                 backoff.reset();
                 spawn_connection(net, clients, stream);
-                while !clients.has_capacity(net.socket_share()) {
+                while !clients.has_capacity(net.client_share()) {
                     clients.changed.notified().await;
                 }
             }
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -118,7 +118,7 @@
     let timeout = client_timeout(&net.config.settings, class, &fields)?;
     let deadline = arrived + timeout;
     let mut job = scheduler_job(&net.config.names, class, key, &fields);
-    let (body, reservation) = receive_body(net, net.clock.instant(deadline), body).await?;
+    let (body, reservation) = receive_body(net, class, net.clock.instant(deadline), body).await?;
     let now = net.clock.now();
     job.remaining = deadline.saturating_sub(now);
     let headers = take_forwarded_fields(&mut fields);
@@ -139,7 +139,7 @@
         id,
         body,
         deadline,
-        _reservation: None,
+        reservation: None,
     };
     Ok(ArrivedRequest {
         job,
--- a/crates/server/src/net/memory/metrics.rs
+++ b/crates/server/src/net/memory/metrics.rs
@@ -17,6 +17,7 @@
         let totals = [
             ("heap", oakshed_heap::live_bytes()),
             ("heap_limit", self.heap_limit()),
+            ("reserved", self.reserved.get()),
         ];
         let holders = Holder::ALL.map(|holder| (holder.name(), self.charged_to(holder)));
         totals.into_iter().chain(holders)
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -98,7 +98,7 @@
             discovery: discovery::DiscoveryState::new(config.discovery),
             shutdown: Shutdown::new(clock),
             counters: Counters::default(),
-            memory: memory::Memory::new(config.memory),
+            memory: memory::Memory::new(config.memory, config.settings.classes.len()),
             request_counts: RequestCounts::new(config.settings.classes.len()),
             started: Cell::new(false),
             open_requests: Rc::default(),
@@ -134,8 +134,20 @@
         self.started.get() && self.workers.any_ready(|name| !facade.is_excluded(name))
     }
 
+    /// The most client connections, by descriptors and by memory.
+    pub(crate) fn client_share(&self) -> usize {
+        let limit = self.memory.client_connection_limit();
+        self.socket_share().min(limit).max(MIN_SOCKET_SHARE)
+    }
+
+    /// The most connections to workers, by descriptors and by memory.
+    pub(crate) fn worker_share(&self) -> usize {
+        let limit = self.memory.worker_connection_limit();
+        self.socket_share().min(limit).max(MIN_SOCKET_SHARE)
+    }
+
     /// The number of file descriptors for clients, and for workers. During a hot restart the processes share the limit.
-    pub(crate) fn socket_share(&self) -> usize {
+    fn socket_share(&self) -> usize {
         let admin_sockets = if self.config.admin.is_some() {
             admin::MAX_SOCKETS
         } else {
--- a/crates/server/src/net/reader.rs
+++ b/crates/server/src/net/reader.rs
@@ -18,15 +18,17 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Sleep};
 
 use super::coalesce::Scratch;
 use super::connection_state::ConnectionState;
 use super::memory::{Charge, Holder, Memory};
-use super::transient::TransientRetry;
+use super::transient::{has_hung_up, TransientRetry};
 use framing::{parse_framing, Framing};
 
 /// The largest request head, in bytes.
@@ -36,6 +38,12 @@
 /// The most bytes that are read and discarded, both here and while a connection is closed. A client that sends more has
 /// its connection closed with bytes unread.
 pub(super) const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// How many bytes are buffered behind a request that is being answered while clients' input holds too much memory.
+const SCARCE_BUFFER_BYTES: usize = 2 << 10;
+/// How often a connection whose input is not read is checked for a disconnect.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A buffer above this size, in bytes, is freed once it is empty.
+const RETAINED_BUFFER_BYTES: usize = 4 << 10;
 /// The buffer space reserved before each read, in bytes.
 const READ_CHUNK_BYTES: usize = 2 << 10;
 
@@ -51,6 +59,9 @@
     /// How many bytes of the current request are still to be passed to hyper; `u64::MAX` where its body is chunked.
     remaining: u64,
     discarded: usize,
+    memory: Rc<Memory>,
+    /// Waits for the next check of a connection whose input is not read.
+    pause: Option<Pin<Box<Sleep>>>,
     read_retry: TransientRetry,
     write_retry: TransientRetry,
 }
@@ -69,6 +80,8 @@
             searched: 0,
             remaining: 0,
             discarded: 0,
+            memory: memory.clone(),
+            pause: None,
             read_retry: TransientRetry::default(),
             write_retry: TransientRetry::default(),
         }
@@ -169,6 +182,26 @@
         if self.remaining == 0 {
             self.state.arrived();
         }
+        if self.buffer.is_empty() && self.buffer.capacity() > RETAINED_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+            self.charge.resize(0);
+        }
+    }
+
+    /// Waits until more input may be read behind the current request. `false` if the client has disconnected meanwhile,
+    /// which is not noticed otherwise without reading.
+    fn poll_may_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        while self.buffer.len() >= SCARCE_BUFFER_BYTES && !self.memory.can_read_ahead() {
+            let pause = self
+                .pause
+                .get_or_insert_with(|| Box::pin(sleep(DISCONNECT_CHECK_INTERVAL)));
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+            if has_hung_up(&self.stream.borrow()) {
+                return Poll::Ready(false);
+            }
+        }
+        Poll::Ready(true)
     }
 }
 
@@ -199,6 +232,9 @@
                 self.state.has_next.set(!self.buffer.is_empty());
                 self.state.wake_when_flushed(cx.waker());
                 self.discard_excess()?;
+                if !ready!(self.poll_may_read_ahead(cx)) {
+                    return Poll::Ready(Ok(()));
+                }
             }
             let Reader {
                 stream,
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -20,7 +20,7 @@
 use super::shutdown::shut_down_on_signal;
 use super::timer::run_timer;
 use super::transient::retry_at_start;
-use super::{admin, discovery, durable, exclusions, front, peers, workers, Net};
+use super::{admin, discovery, durable, exclusions, front, memory, peers, workers, Net};
 use crate::config::Config;
 use oakshed_core::facade::{Facade, Observation};
 
@@ -172,6 +172,7 @@
     tokio::task::spawn_local(discovery::run(net.clone(), inherited_list));
     tokio::task::spawn_local(workers::close_expired_connections(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
+    tokio::task::spawn_local(memory::maintain(net.clone()));
     tokio::task::spawn_local(reload_on_signal(net.clone(), hangup));
     tokio::task::spawn_local(shut_down_on_signal(net.clone(), terminate, interrupt));
 }
--- a/crates/server/src/net/transient.rs
+++ b/crates/server/src/net/transient.rs
@@ -11,6 +11,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpStream, UnixStream};
@@ -80,6 +81,18 @@
     }
 }
 
+/// Whether the peer has closed its sending side. Also detects a close that follows unread bytes, of which a peek shows
+/// only the bytes.
+pub(super) fn has_hung_up(stream: &TcpStream) -> bool {
+    let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut sockets = [PollFd::new(stream, hang_up)];
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    poll(&mut sockets, Some(&no_wait)).is_ok() && sockets[0].revents().intersects(hang_up)
+}
+
 /// The retry state of one direction of a connection.
 #[derive(Default)]
 pub(super) struct TransientRetry {
--- a/crates/server/src/net/workers/attempt.rs
+++ b/crates/server/src/net/workers/attempt.rs
@@ -301,7 +301,7 @@
         net.counters.workers.reused.increment();
         return Ok(connection);
     }
-    let Some(slot) = net.workers.reserve_slot(net.socket_share()) else {
+    let Some(slot) = net.workers.reserve_slot(net.worker_share()) else {
         net.counters.workers.no_socket.increment();
         return Err(Ending::LocalFault);
     };
--- a/crates/server/src/net/workers/client.rs
+++ b/crates/server/src/net/workers/client.rs
@@ -7,10 +7,9 @@
 use std::io;
 use std::rc::{Rc, Weak};
 
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use tokio::net::TcpStream;
 
-use super::super::transient::{is_transient, peek};
+use super::super::transient::{has_hung_up, is_transient, peek};
 
 /// A weak reference to a client's connection, which does not keep it open.
 #[derive(Clone)]
@@ -38,18 +37,6 @@
     }
 }
 
-/// Whether the peer has closed its sending side. Also detects a close that follows unread bytes, of which a peek shows
-/// only the bytes.
-fn has_hung_up(stream: &TcpStream) -> bool {
-    let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    let mut sockets = [PollFd::new(stream, hang_up)];
-    let no_wait = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    poll(&mut sockets, Some(&no_wait)).is_ok() && sockets[0].revents().intersects(hang_up)
-}
-
 /// The cancellation state of an attempt: cancelled explicitly, or by its client's disconnect.
 #[derive(Default)]
 pub(super) struct Cancellation {
--- a/crates/server/src/net/workers/probe.rs
+++ b/crates/server/src/net/workers/probe.rs
@@ -85,7 +85,7 @@
     body: Bytes,
 ) -> Option<Bytes> {
     let address = net.workers.last_address(to)?;
-    let slot = net.workers.reserve_slot(net.socket_share())?;
+    let slot = net.workers.reserve_slot(net.worker_share())?;
     let mut connection = timeout(
         net.workers.connect_timeout,
         Connection::open(address, Some(slot)),
--- a/crates/server/src/net/workers/stream_reader.rs
+++ b/crates/server/src/net/workers/stream_reader.rs
@@ -3,7 +3,7 @@
 //! A stream with a line that is too long, malformed or for another request is discarded, and the attempt counts as
 //! dropped.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -22,15 +22,23 @@
         connection: Connection,
         mut body: Incoming,
     ) -> AttemptEnd {
-        let mut buffer = BytesMut::new();
+        let mut buffer = Vec::new();
         let mut charge = self.net.memory.charge(Holder::WorkerLines, 0);
         let mut has_started = false;
         while let Some(Ok(frame)) = body.frame().await {
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            if !self.net.memory.can_exceed(data.len()) {
+                self.net.counters.workers.no_memory.increment();
+                return Ending::Dropped.into();
+            }
+            buffer.reserve_exact(data.len());
             buffer.extend_from_slice(&data);
             charge.resize(buffer.capacity());
+            if let Some(result) = self.forwarded.expected_result() {
+                result.on_received(buffer.len());
+            }
             while let Some(line) = next_line(&mut buffer) {
                 match read_line(&self.net, &self.forwarded, &line, has_started) {
                     LineMeaning::Alive { started } => {
@@ -44,12 +52,13 @@
                         result,
                         load,
                     } => {
+                        self.record_result_size(result.as_ref());
                         return AttemptEnd {
                             ending,
                             result,
                             load,
                             reusable: Some((connection, body)),
-                        }
+                        };
                     }
                 }
             }
@@ -61,13 +70,20 @@
         self.net.counters.workers.early_ends.increment();
         Ending::Dropped.into()
     }
+
+    fn record_result_size(&self, result: Option<&Bytes>) {
+        if let (Some(expected), Some(result)) = (self.forwarded.expected_result(), result) {
+            expected.on_result(result.len());
+        }
+    }
 }
 
 /// Removes the next complete line that is not blank from the buffer.
-fn next_line(buffer: &mut BytesMut) -> Option<BytesMut> {
+fn next_line(buffer: &mut Vec<u8>) -> Option<Vec<u8>> {
     loop {
         let line_end = buffer.iter().position(|byte| *byte == b'\n')?;
-        let line = buffer.split_to(line_end + 1);
+        let rest = buffer.split_off(line_end + 1);
+        let line = std::mem::replace(buffer, rest);
         if !line.trim_ascii().is_empty() {
             return Some(line);
         }
--- a/crates/server/src/net/workers/tests.rs
+++ b/crates/server/src/net/workers/tests.rs
@@ -173,7 +173,7 @@
         id,
         body,
         deadline,
-        _reservation: None,
+        reservation: None,
     }
 }
 
