Never run an id again that may have run, here or at the other process of a hot restart

Cause: an id was known only for as long as its request was open. Once the client had left and the attempt was cancelled, or had ended, the id was free, and nothing told the other process. Change: net/executed_ids records an id before the first byte of an attempt is written, for classes that must not run again (single_shot, and guarded within a zone or cell), and forgets it only if every attempt is proven never to have run. An id that comes again gets 409. Each process appends to a ring file in the shared directory before it writes to a worker and reads the other's before it runs an id, so that old processes, which ignore the file, are not disturbed, and a killed process's ids are known as well.

--- a/crates/server/src/net/admin.rs
+++ b/crates/server/src/net/admin.rs
@@ -4,8 +4,8 @@
 //! connected. At the limit, connections that have sent no command yet are closed in favour of new ones. Jobs are not
 //! accepted here.
 
-use std::fmt::Write as _;
 use std::cell::{Cell, RefCell};
+use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -253,6 +253,11 @@
         "edge_router.memory.abandoned_answers:{}|c",
         net.counters.workers.no_memory.get()
     );
+    _ = writeln!(
+        text,
+        "edge_router.memory.executed_ids:{}|g",
+        net.executed_ids.bytes()
+    );
     net.counters.request_errors.render(&mut text);
     text + "END\n"
 }
--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -11,10 +11,13 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Uri};
 use oakshed_core::facade::Micros;
+use oakshed_core::interface::{Effect, Scope};
 use rustc_hash::FxHashSet;
 
 use super::answers::REQ_DEADLINE;
+use super::executed_ids::{Execution, ExecutionError};
 use super::memory::{Charge, ExpectedResult, Holder, Memory};
+use super::Net;
 
 /// The part of the configured memory that request bodies may use, as a divisor.
 const BODY_MEMORY_DIVISOR: usize = 8;
@@ -49,6 +52,11 @@
 }
 
 impl ForwardedRequest {
+    /// Whether the request may have run, if it must not run again.
+    pub(super) fn execution(&self) -> Option<&Execution> {
+        self.reservation.as_ref()?.execution.as_ref()
+    }
+
     /// The memory reserved for the result.
     pub(super) fn expected_result(&self) -> Option<&ExpectedResult> {
         self.reservation.as_ref().map(|r| &r.result)
@@ -88,6 +96,7 @@
     id: Option<HeaderValue>,
     body: Charge,
     result: ExpectedResult,
+    execution: Option<Execution>,
 }
 
 impl Reservation {
@@ -106,6 +115,7 @@
             id: None,
             body: memory.charge(Holder::RequestBodies, 0),
             result,
+            execution: None,
         })
     }
 
@@ -127,6 +137,26 @@
         true
     }
 
+    /// Follows whether the request may have run, if its class must not run again. Fails if the request must not be run.
+    pub(super) fn track_execution(
+        &mut self,
+        net: &Net,
+        class: usize,
+        id: &HeaderValue,
+    ) -> Result<(), ExecutionError> {
+        let class = &net.config.settings.classes[class];
+        let may_run_again = match class.effect {
+            Effect::Safe => true,
+            // The workers recognize the idempotency key.
+            Effect::Keyed => class.scope == Scope::All,
+            Effect::Unsafe => false,
+        };
+        if !may_run_again {
+            self.execution = Some(Execution::new(&net.executed_ids, id)?);
+        }
+        Ok(())
+    }
+
     /// Claims an id; returns false if another open request has it, as the worker's response would be ambiguous.
     pub(super) fn claim(&mut self, id: &HeaderValue) -> bool {
         let new = self.open.ids.borrow_mut().insert(id.clone());
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -130,6 +130,9 @@
     if !reservation.claim(&forwarded.id) {
         return reject_request(net, client, RequestError::IdInUse);
     }
+    if let Err(error) = reservation.track_execution(net, job.class as usize, &forwarded.id) {
+        return reject_request(net, client, error.into());
+    }
     perform_steps(
         net,
         connection,
--- a/crates/server/src/net/front/request.rs
+++ b/crates/server/src/net/front/request.rs
@@ -68,7 +68,7 @@
             RequestError::BodyTooLarge => {
                 plain_text(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n")
             }
-            RequestError::NoMemory | RequestError::Pipelined => {
+            RequestError::NoMemory | RequestError::TooManyIds | RequestError::Pipelined => {
                 let wait = (settings.max_retry_after / 2).as_micros();
                 rejection(settings.retry_after.then_some(wait))
             }
@@ -78,6 +78,10 @@
             RequestError::TooManyPieces => bad_request("body in too many pieces\n"),
             RequestError::UnreadableBody => bad_request("broken body\n"),
             RequestError::NoHost => bad_request("no Host\n"),
+            RequestError::IdExecuted => plain_text(
+                StatusCode::CONFLICT,
+                "a req with this Req-Id may have run\n",
+            ),
             RequestError::IdInUse => {
                 plain_text(StatusCode::CONFLICT, "another open req has this Req-Id\n")
             }
--- a/crates/server/src/net/hot_restart/directory.rs
+++ b/crates/server/src/net/hot_restart/directory.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// The directory's path.
+    pub(in super::super) fn root(&self) -> &Path {
+        &self.path
+    }
+
     /// The path of a file in the directory.
     pub(in super::super) fn path(&self, name: &str) -> PathBuf {
         self.path.join(name)
--- a/crates/server/src/net/hot_restart/mod.rs
+++ b/crates/server/src/net/hot_restart/mod.rs
@@ -82,6 +82,7 @@
         flag.set(value);
         let processes = self.process_count();
         net.memory.set_process_count(processes);
+        net.executed_ids.find_others();
         net.facade.borrow_mut().set_process_count(processes);
     }
 }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -20,6 +20,7 @@
 mod durable;
 mod error;
 mod exclusions;
+mod executed_ids;
 mod forwarded_request;
 pub mod front;
 mod hot_restart;
@@ -77,6 +78,7 @@
     pub started: Cell<bool>,
     pub open_requests: Rc<forwarded_request::OpenRequests>,
     pub hot_restart: hot_restart::HotRestart,
+    pub executed_ids: Rc<executed_ids::ExecutedIds>,
     pub exclusions: exclusions::Exclusions,
     /// Durable jobs, if operators have enabled them.
     pub durable: Option<durable::DurableJobs>,
@@ -89,6 +91,7 @@
         config: Config,
         clock: Clock,
         facade: Facade,
+        executed_ids: Rc<executed_ids::ExecutedIds>,
         durable: Option<durable::DurableJobs>,
     ) -> Net {
         Net {
@@ -103,6 +106,7 @@
             started: Cell::new(false),
             open_requests: Rc::default(),
             hot_restart: hot_restart::HotRestart::default(),
+            executed_ids,
             exclusions: exclusions::Exclusions::default(),
             durable,
             peers: None,
--- a/crates/server/src/net/request_error.rs
+++ b/crates/server/src/net/request_error.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Write as _};
 
 use super::counters::Counter;
+use super::executed_ids::ExecutionError;
 
 /// Why a request is answered with an error before the scheduler sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,13 +38,17 @@
     NoHost,
     /// Another open request has the same id.
     IdInUse,
+    /// A request with the same id may have run, and must not run again.
+    IdExecuted,
+    /// Too many ids of requests that must not run again have been recorded lately.
+    TooManyIds,
     /// It was pipelined, while other clients wait for a connection.
     Pipelined,
 }
 
 impl RequestError {
     /// All errors with their names in the metrics and in the log, in the order of the variants.
-    const NAMES: [&'static str; 16] = [
+    const NAMES: [&'static str; 18] = [
         "no_path",
         "unknown_class",
         "unknown_path",
@@ -59,10 +64,21 @@
         "unreadable_body",
         "no_host",
         "id_in_use",
+        "id_executed",
+        "too_many_ids",
         "pipelined",
     ];
 }
 
+impl From<ExecutionError> for RequestError {
+    fn from(error: ExecutionError) -> Self {
+        match error {
+            ExecutionError::Repeated => RequestError::IdExecuted,
+            ExecutionError::NoCapacity => RequestError::TooManyIds,
+        }
+    }
+}
+
 /// How often each error occurred.
 #[derive(Default)]
 pub(crate) struct RequestErrorCounters([Counter; RequestError::NAMES.len()]);
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -15,6 +15,7 @@
 use super::clock::{wall_clock, Clock};
 use super::counters::{log_counters, Summary};
 use super::error::ServeError;
+use super::executed_ids::ExecutedIds;
 use super::hot_restart::{self, SharedDirectory};
 use super::reload::reload_on_signal;
 use super::shutdown::shut_down_on_signal;
@@ -40,11 +41,15 @@
     let (durable, store_events) = durable::open(&config, clock.now())?;
     let peers = peers::open(&config, clock.now())?;
     let directory = SharedDirectory::open(config.tmp.as_deref(), config.listen).map(Rc::new);
+    let executed_ids = ExecutedIds::new(clock, config.memory);
+    if let Some(directory) = &directory {
+        executed_ids.share(directory.root());
+    }
     let resources = StartupResources::open(directory, &mut config, &mut facade, clock)?;
     if let Some(notice) = durable::missing_lease_notice(&config) {
         info!("store: {notice}");
     }
-    let mut net = Net::new(config, clock, facade, durable);
+    let mut net = Net::new(config, clock, facade, executed_ids, durable);
     net.peers = peers;
     let net = Rc::new(net);
     log_start(&net, &resources.listener)?;
--- a/crates/server/src/net/workers/attempt.rs
+++ b/crates/server/src/net/workers/attempt.rs
@@ -78,6 +78,11 @@
 pub(super) struct WriteProgress(pub(super) RefCell<Option<(Rc<Socket>, u64)>>);
 
 impl WriteProgress {
+    /// Whether the request was passed to a connection.
+    fn is_begun(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
     /// Whether the system has taken the last byte, so that the worker may have the whole request.
     pub(super) fn is_complete(&self) -> bool {
         self.0
@@ -163,6 +168,7 @@
             Ending::Dropped | Ending::Expired if !self.progress.is_complete() => Ending::DialFailed,
             ending => ending,
         };
+        self.note_if_never_ran(ending);
         // Sent before the observer is notified, so that it is there when the facade decides to serve it.
         if let Some(bytes) = end.result.clone() {
             _ = result.send(bytes);
@@ -178,6 +184,18 @@
         }
     }
 
+    /// Notes an attempt that was begun, but whose ending proves that it has never run.
+    fn note_if_never_ran(&self, ending: Ending) {
+        let never_ran = matches!(
+            ending,
+            Ending::Declined | Ending::DialFailed | Ending::Unused | Ending::LocalFault
+        );
+        let execution = self.forwarded.execution();
+        if let Some(execution) = execution.filter(|_| never_ran && self.progress.is_begun()) {
+            execution.on_never_ran();
+        }
+    }
+
     /// Waits until one of the attempt's deadlines has passed.
     async fn time_out(&self) -> Ending {
         let AttemptDeadlines {
@@ -227,6 +245,9 @@
             return Ending::Unused.into();
         };
         let end = self.arm_write_guard(&connection, &request);
+        if let Some(execution) = self.forwarded.execution() {
+            execution.on_attempt();
+        }
         let Ok(response) = connection.sender.send_request(request).await else {
             return self.classify_lost_connection(&connection).into();
         };
--- a/crates/server/src/net/workers/tests.rs
+++ b/crates/server/src/net/workers/tests.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::super::executed_ids::ExecutedIds;
 use super::super::forwarded_request::ForwardedRequest;
 use super::super::{Clock, Net};
 use super::attempt::{encoded_len, WriteProgress};
@@ -127,7 +128,9 @@
     _ = std::fs::remove_file(&path);
     let config = config.expect("usable");
     let facade = Facade::new(config.settings.clone(), config.seed).expect("usable");
-    Rc::new(Net::new(config, Clock::new(), facade, None))
+    let clock = Clock::new();
+    let executed_ids = ExecutedIds::new(clock, config.memory);
+    Rc::new(Net::new(config, clock, facade, executed_ids, None))
 }
 
 /// The same, with one worker in the endpoint list.
