Limit a successor's memory while its predecessor may hold more than its share

Cause: at a hot restart each process's budget becomes that of a half at once, but what the predecessor has admitted before stays until its requests end, up to their deadlines, while the successor fills its half. Change: for 6 s after a takeover, as long as the predecessor runs, the successor uses a quarter of its heap; the allowance for fragmentation is a fifth again.

--- a/crates/server/src/net/hot_restart/mod.rs
+++ b/crates/server/src/net/hot_restart/mod.rs
@@ -100,6 +100,7 @@
         return;
     };
     let state = &net.hot_restart;
+    net.memory.on_takeover();
     state.set(net, &state.has_predecessor, true);
     state.predecessor_unnotified.set(true);
     let net = net.clone();
--- a/crates/server/src/net/memory/mod.rs
+++ b/crates/server/src/net/memory/mod.rs
@@ -12,6 +12,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 pub(crate) use expected_results::ExpectedResult;
 use expected_results::ResultSizes;
@@ -22,7 +23,12 @@
 /// The most processes of a scheduler that run at a time: both of a hot restart.
 const MAX_PROCESSES: usize = 2;
 /// The part of the memory beside the program that the allocator may lose to fragmentation, as a divisor.
-const FRAGMENTATION_DIVISOR: usize = 8;
+const FRAGMENTATION_DIVISOR: usize = 5;
+/// For how long a process uses a part of its heap only after it has taken over from another, which still holds what it
+/// held alone: longer than most deadlines and the time that a response is kept beyond them.
+const HANDOVER_TIME: Duration = Duration::from_secs(6);
+/// That part, as a divisor.
+const HANDOVER_DIVISOR: usize = 4;
 /// The part of a process's share that the heap gets, however small the share is, as a divisor.
 const MIN_HEAP_DIVISOR: usize = 4;
 
@@ -84,6 +90,8 @@
     /// `limits.memory_mb` in bytes, which all processes of the scheduler share.
     limit: usize,
     processes: Cell<usize>,
+    /// Until when a predecessor may hold more than its share.
+    handover_until: Cell<Option<Instant>>,
     /// What admitted requests are expected to hold later.
     reserved: Cell<usize>,
     result_sizes: ResultSizes,
@@ -96,6 +104,7 @@
         Rc::new(Memory {
             limit,
             processes: Cell::new(1),
+            handover_until: Cell::new(None),
             reserved: Cell::new(0),
             result_sizes: ResultSizes::new(classes),
             charged: Default::default(),
@@ -107,6 +116,18 @@
         self.processes.set(processes.max(1));
     }
 
+    /// Notes that this process has taken over from one that still runs.
+    pub(super) fn on_takeover(&self) {
+        self.handover_until
+            .set(Some(Instant::now() + HANDOVER_TIME));
+    }
+
+    /// Whether a predecessor may still hold more than its share.
+    fn is_in_handover(&self) -> bool {
+        let until = self.handover_until.get();
+        self.processes.get() > 1 && until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// This process's share of the limit, in bytes.
     pub(super) fn share(&self) -> usize {
         self.limit / self.processes.get()
@@ -118,7 +139,13 @@
         let share = self.share();
         let programs = MAX_PROCESSES / self.processes.get().min(MAX_PROCESSES);
         let beside_program = share.saturating_sub(programs * PROGRAM_BYTES);
-        (beside_program - beside_program / FRAGMENTATION_DIVISOR).max(share / MIN_HEAP_DIVISOR)
+        let heap = beside_program - beside_program / FRAGMENTATION_DIVISOR;
+        let heap = heap.max(share / MIN_HEAP_DIVISOR);
+        if self.is_in_handover() {
+            heap / HANDOVER_DIVISOR
+        } else {
+            heap
+        }
     }
 
     /// A part of the heap limit, in bytes.
--- a/crates/server/src/net/memory/tests.rs
+++ b/crates/server/src/net/memory/tests.rs
@@ -9,6 +9,11 @@
     assert!(alone + PROGRAM_BYTES < 32 << 20, "{alone}");
     memory.set_process_count(2);
     assert!(2 * (memory.heap_limit() + PROGRAM_BYTES) < 32 << 20);
+    let shared = memory.heap_limit();
+    memory.on_takeover();
+    assert!(memory.heap_limit() < shared);
+    memory.set_process_count(1);
+    assert_eq!(memory.heap_limit(), alone);
     assert!(Memory::new(4 << 20, 1).heap_limit() >= 1 << 20);
 }
 
--- a/crates/server/tests/overload/duplicate_ids.rs
+++ b/crates/server/tests/overload/duplicate_ids.rs
@@ -40,7 +40,7 @@
 
 /// Has clients leave and sends their ids again; fails if one has run twice.
 #[track_caller]
-fn send_ids_again(scheduler: &Scheduler) {
+pub fn send_ids_again(scheduler: &Scheduler) {
     let address = scheduler.address();
     let rounds: Vec<_> = (0..ROUNDS)
         .map(|round| {
--- a/crates/server/tests/overload/main.rs
+++ b/crates/server/tests/overload/main.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod memory_limit;
 mod scheduler;
+mod soak;
 mod workers;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/server/tests/overload/scheduler.rs
+++ b/crates/server/tests/overload/scheduler.rs
@@ -3,12 +3,17 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 use oakshed_standin::{config, until, Discovery, Place, Program, ADMIN};
 
 use crate::memory::MemoryMonitor;
 use crate::workers::Workers;
 
+/// When SIGKILL follows SIGTERM at the earliest: the longest deadline, taken as 3 s where it is longer, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The limits of a scheduler.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -108,6 +113,22 @@
         assert_eq!(status.code(), Some(0), "{}", old.log());
     }
 
+    /// Replaces the running process, and kills it after SIGTERM as early as the platform does if it has not exited.
+    pub fn hot_restart_with_kill(&mut self) {
+        self.start_process();
+        let mut old = self.processes.remove(0);
+        old.signal("-TERM");
+        let kill_at = Instant::now() + EARLIEST_KILL;
+        while Instant::now() < kill_at && old.child.try_wait().expect("its state").is_none() {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Kills the process that was started last.
+    pub fn kill_latest(&mut self) {
+        self.processes.pop();
+    }
+
     /// Fails if a process has ended, or if all processes together have held more than the limit.
     #[track_caller]
     pub fn assert_within_limit(&mut self) {
