Copy answers to probes, lease calls and discovery's lists into one buffer

Callers saw: nothing reported; found by reading for the same mistake as in requests' bodies. A worker whose answer to a probe comes byte by byte makes the scheduler pass any limit. Cause: these bodies were collected from slices of hyper's read buffers, as requests' bodies were: 64 KiB of bytes may hold 8 to 16 KiB each. Change: collect_body copies them, with the same limits.

--- a/crates/server/src/net/discovery/error.rs
+++ b/crates/server/src/net/discovery/error.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 
+use super::super::collect_body::CollectError;
 use super::super::workers::ConnectionError;
 
 /// The reason why a call to discovery returned no endpoint list.
@@ -24,7 +25,7 @@
     Status(StatusCode),
     /// The response body ended early or exceeds the size limit.
     #[error("truncated or oversized response body: {0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] CollectError),
     /// The response body is not a valid endpoint list.
     #[error("malformed endpoint list: {0}")]
     MalformedList(#[source] serde_json::Error),
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -17,11 +17,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{header::HOST, Request, StatusCode};
 use tokio::time::timeout;
 use tracing::{info, warn};
 
+use super::collect_body::collect_body;
 use super::workers::Connection;
 use super::{durable, peers, Net};
 use crate::list::{Answer, EndpointList, UpdateKind};
@@ -229,14 +230,9 @@
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
         }
-        let body = Limited::new(
-            response.into_body(),
-            MAX_LIST_BYTES.min(self.net.memory.list_limit()),
-        )
-        .collect()
-        .await;
-        let body = body.map_err(CallError::Body)?;
-        let mut answer = Answer::parse(&body.to_bytes()).map_err(|e| {
+        let limit = MAX_LIST_BYTES.min(self.net.memory.list_limit());
+        let body = collect_body(response.into_body(), limit).await?;
+        let mut answer = Answer::parse(&body).map_err(|e| {
             self.net.counters.discovery.malformed_lists.increment();
             CallError::MalformedList(e)
         })?;
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod answers;
 mod clock;
 mod coalesce;
+mod collect_body;
 mod connection_state;
 mod counters;
 pub mod workers;
--- a/crates/server/src/net/workers/probe.rs
+++ b/crates/server/src/net/workers/probe.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
 use super::super::answers::LEASE_TOKEN;
+use super::super::collect_body::collect_body;
 use super::super::Net;
 use super::attempt::{connect, encoded_len};
 use super::connection::Connection;
@@ -57,11 +58,9 @@
         return None;
     }
     let in_headers = load_from_headers(response.headers());
-    let body = http_body_util::Limited::new(response.into_body(), MAX_LINE_BYTES)
-        .collect()
+    let body = collect_body(response.into_body(), MAX_LINE_BYTES)
         .await
-        .ok()?
-        .to_bytes();
+        .ok()?;
     if connection.sender.ready().await.is_ok() {
         net.workers.put_back(to, connection);
     }
@@ -102,8 +101,6 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let body = http_body_util::Limited::new(response.into_body(), 2 * MAX_LINE_BYTES)
-        .collect()
-        .await;
-    Some(body.ok()?.to_bytes())
+    let body = collect_body(response.into_body(), 2 * MAX_LINE_BYTES).await;
+    Some(body.ok()?.into())
 }
--- a/crates/server/tests/overload/memory_limit.rs
+++ b/crates/server/tests/overload/memory_limit.rs
@@ -40,6 +40,29 @@
     );
 }
 
+/// Each job's worker is probed, and answers the probe byte by byte.
+#[test]
+fn probe_answers_that_come_byte_by_byte() {
+    let _exclusive = crate::exclusive_use();
+    let limits = Limits {
+        memory_mb: MEMORY_MB,
+        sockets: 512,
+    };
+    let probing = [(
+        r#""limits":{"cancelling""#,
+        r#""load-info":{"how":"probe","columns":["outstanding","backlog"]},"limits":{"may-probe":true,"cancelling""#,
+    )];
+    let mut scheduler = Scheduler::start_with(limits, &probing);
+    let ordinary = OrdinaryClients::start(scheduler.address());
+    let crowd = Crowd::start(scheduler.address(), CLIENTS, &[Behaviour::Rest]);
+    std::thread::sleep(CROWD_TIME / 2);
+    println!("{}", scheduler.memory_figures());
+    ordinary.finish();
+    drop(crowd);
+    scheduler.assert_within_limit();
+    assert!(scheduler.workers.probes() > 0, "nothing was probed");
+}
+
 macro_rules! crowd_test {
     ($name:ident, $sockets:expr, $behaviours:expr) => {
         crowd_test!($name, $sockets, $behaviours, |_: &mut Scheduler| {});
--- a/crates/server/tests/overload/scheduler.rs
+++ b/crates/server/tests/overload/scheduler.rs
@@ -28,6 +28,7 @@
     pub memory: MemoryMonitor,
     pub workers: Workers,
     discovery: Discovery,
+    edits: Vec<(&'static str, &'static str)>,
     /// The processes that run, the latest one last.
     pub processes: Vec<Program>,
 }
@@ -46,12 +47,18 @@
 
 impl Scheduler {
     pub fn start(limits: Limits) -> Scheduler {
+        Scheduler::start_with(limits, &[])
+    }
+
+    /// Starts a process with replacements in its configuration.
+    pub fn start_with(limits: Limits, edits: &[(&'static str, &'static str)]) -> Scheduler {
         let workers = Workers::start();
         let place = Place::new();
         let mut scheduler = Scheduler {
             memory: MemoryMonitor::start(place.folder.clone()),
             place,
             limits,
+            edits: edits.to_vec(),
             discovery: Discovery::new(&workers.list()),
             workers,
             processes: Vec::new(),
@@ -76,6 +83,10 @@
             .expect("written")
             .replace("\"memory_mb\":192", &memory)
             .replace(ADMIN.0, ADMIN.1);
+        let text = self
+            .edits
+            .iter()
+            .fold(text, |text, (from, to)| text.replace(from, to));
         _ = std::fs::remove_file(&template);
         let path = self
             .place
--- a/crates/server/tests/overload/workers.rs
+++ b/crates/server/tests/overload/workers.rs
@@ -1,6 +1,7 @@
 //! Worker stand-ins, whose answer depends on the key in a request's path.
 
 use std::collections::HashMap;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// How long a worker stays silent behind an unfinished line.
 const SILENCE: Duration = Duration::from_secs(6);
 
+/// Between two pieces of an answer that comes byte by byte.
+const PIECE_INTERVAL: Duration = Duration::from_micros(50);
+
 /// The key of a request that gets a result of [`LARGE_RESULT_BYTES`].
 pub const LARGE: &str = "large";
 /// The key of a request whose answer stops within the line of its result.
@@ -25,6 +29,9 @@
 
 fn answer(message: &Message, stream: &mut TcpStream) -> bool {
     _ = stream.set_nodelay(true);
+    if message.first.starts_with("GET /status/load ") {
+        return answer_byte_by_byte(stream);
+    }
     std::thread::sleep(RUN_TIME);
     let target = message.first.split(' ').nth(1).unwrap_or("");
     match target.split('/').nth(2) {
@@ -42,6 +49,17 @@
     }
 }
 
+/// Answers a probe in chunks of one byte, each written by itself, until the connection ends.
+fn answer_byte_by_byte(stream: &mut TcpStream) -> bool {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut written = stream.write_all(head.as_bytes());
+    while written.is_ok() {
+        std::thread::sleep(PIECE_INTERVAL);
+        written = stream.write_all(b"1\r\n \r\n");
+    }
+    false
+}
+
 impl Workers {
     pub fn start() -> Workers {
         Workers((0..WORKERS).map(|_| Peer::new(answer)).collect())
@@ -73,6 +91,16 @@
         repeated.map(|(id, _)| id).collect()
     }
 
+    /// How many probes have come.
+    pub fn probes(&self) -> usize {
+        let is_probe = |m: &&Message| m.first.starts_with("GET /status/load ");
+        let count = |peer: &Peer| {
+            let seen = peer.seen.lock().expect("not poisoned");
+            seen.iter().filter(is_probe).count()
+        };
+        self.0.iter().map(count).sum()
+    }
+
     /// How many requests have come whose id starts with a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let matches = |m: &&Message| m.field("req-id").is_some_and(|id| id.starts_with(prefix));
