Return freed pages to the system by a part of the budget, not at each MiB

Cause: pages were returned whenever a MiB fewer was live than at the peak; with 192 MB that would be many times a second under load, and each return walks the free memory and has its pages faulted in again. By reading; its cost was not measured.

--- a/crates/server/src/net/memory/maintenance.rs
+++ b/crates/server/src/net/memory/maintenance.rs
@@ -8,8 +8,6 @@
 
 /// Between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Freed pages are returned once this many bytes fewer are live than at the peak since the last time.
-const TRIM_BYTES: usize = 1 << 20;
 /// The most connections that are closed in one check.
 const MAX_CLOSED: usize = 16;
 
@@ -25,7 +23,7 @@
         }
         let live = oakshed_heap::live_bytes();
         peak = live.max(peak);
-        if live + TRIM_BYTES < peak {
+        if live + net.memory.trim_threshold() < peak {
             oakshed_heap::trim();
             peak = live;
         }
--- a/crates/server/src/net/memory/mod.rs
+++ b/crates/server/src/net/memory/mod.rs
@@ -46,6 +46,8 @@
 const SMALL_REQUEST_BYTES: usize = 8 << 10;
 /// The part of the heap from which on idle connections to workers are closed, in percent.
 const IDLE_CONNECTIONS_PERCENT: usize = 65;
+/// The part of the heap whose freed pages may be retained, as a divisor.
+const TRIM_DIVISOR: usize = 16;
 /// The part of the heap, as a divisor, that clients' input may hold before less of it is read ahead.
 const READ_AHEAD_DIVISOR: usize = 16;
 /// The part of the heap that an endpoint list may take in discovery's form, as a divisor, and its lower bound in bytes.
@@ -173,6 +175,11 @@
         (self.heap_limit() / LIST_DIVISOR).max(MIN_LIST_BYTES)
     }
 
+    /// By how much the live bytes fall until freed pages are returned to the system, which takes time for each of them.
+    fn trim_threshold(&self) -> usize {
+        self.heap_limit() / TRIM_DIVISOR
+    }
+
     /// Whether a request may be admitted that will hold this many bytes.
     pub(super) fn can_admit(&self, bytes: usize) -> bool {
         let percent = if bytes <= SMALL_REQUEST_BYTES {
