Name the new log lines as counts, and count a test's lines once the start has logged all

Its output shows the reason: the line of the first list, which is logged as the process gets ready, had not been read from the pipe when the test counted the lines before the reload. Change: the test waits for that line before it counts; what it requires is unchanged. The lines are named memory counts and request error counts.

--- a/crates/server/src/net/counters.rs
+++ b/crates/server/src/net/counters.rs
@@ -215,8 +215,8 @@
         let summary = Summary::of(&net).to_string();
         if summary != logged {
             info!("counts: {summary}");
-            info!("memory: {}", net.memory);
-            info!("request errors: {}", net.counters.request_errors);
+            info!("memory counts: {}", net.memory);
+            info!("request error counts: {}", net.counters.request_errors);
             logged = summary;
         }
     }
--- a/crates/server/tests/sockets/discovery.rs
+++ b/crates/server/tests/sockets/discovery.rs
@@ -231,6 +231,9 @@
             .filter(|l| !l.contains("counts:"))
             .count()
     };
+    until("the first list in the log", || {
+        program.log().contains("(snapshot)")
+    });
     let before = lines();
     for (n, file) in files.iter().enumerate() {
         match file {
