Keep recorded ids for processes that start after their process has ended

Callers saw a transfer run twice.

Cause: a process removed its file of ids when it ended, and others removed the file of a process that had been killed as soon as they noticed. The ids were known to the processes that ran at that time, and to none that started afterwards. Files were told apart by process id, which a container gives again, and `/proc` of another container says nothing about the owner.

A process now locks its file while it runs. The file stays until all of its records have expired, and then another process removes it. Records carry the system's monotonic time, so that a process that reads them later neither keeps them longer than 10 s nor counts expired ones against its capacity. The name has the time of creation, so that no file takes another's place.

--- a/crates/server/src/net/clock.rs
+++ b/crates/server/src/net/clock.rs
@@ -42,3 +42,10 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_micros() as Micros)
 }
+
+/// The system's monotonic clock, in microseconds. All processes of a system read the same one, until it is restarted.
+pub(crate) fn monotonic_clock() -> Micros {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    let since = Duration::try_from(now).unwrap_or_default();
+    since.as_micros() as Micros
+}
--- a/crates/server/src/net/executed_ids/journal.rs
+++ b/crates/server/src/net/executed_ids/journal.rs
@@ -1,106 +1,70 @@
-//! The file in which a process records ids for the other process of a hot restart: a ring of records of fixed size.
+//! The file in which a process records ids for the other processes of its scheduler: a ring of records of fixed size.
 //!
-//! Each record has its sequence number and a checksum, so that a reader knows how far the ring is written, and skips
-//! what was overwritten before it was read. The form is private to processes that know it; others ignore the file.
+//! The process has its file locked while it runs. The file stays when the process ends, so that a process that starts
+//! later knows the ids too, and is removed by another one when all of its records have expired.
 
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-use xxhash_rust::xxh3::xxh3_64;
+use oakshed_core::facade::Micros;
+use rustix::fs::{flock, FlockOperation};
 
-use super::IdHash;
+use super::super::clock::{monotonic_clock, wall_clock};
+use super::record::{Record, RECORD_BYTES};
+use super::{FILE_PREFIX, RETENTION};
 
-/// The size of a record: the hash of the id, the sequence number with the kind of record, and the checksum.
-const RECORD_BYTES: usize = 32;
-/// Where these begin.
-const SEQUENCE_AT: usize = 16;
-const CHECKSUM_AT: usize = 24;
 /// How many records are read by one call.
 const READ_RECORDS: usize = 64;
-/// Set in the sequence number of a record of [`Record::NeverExecuted`].
-const NEVER_EXECUTED: u64 = 1 << 63;
-
-/// What a process records.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Record {
-    /// A request with this id is about to be written to a worker.
-    Executed(IdHash),
-    /// Such a request has not run after all.
-    NeverExecuted(IdHash),
-}
-
-type EncodedRecord = [u8; RECORD_BYTES];
-
-fn encode(record: Record, sequence: u64) -> EncodedRecord {
-    let (id, flag) = match record {
-        Record::Executed(id) => (id, 0),
-        Record::NeverExecuted(id) => (id, NEVER_EXECUTED),
-    };
-    let mut bytes = [0; RECORD_BYTES];
-    bytes[..SEQUENCE_AT].copy_from_slice(&id.to_le_bytes());
-    bytes[SEQUENCE_AT..CHECKSUM_AT].copy_from_slice(&(sequence | flag).to_le_bytes());
-    let checksum = xxh3_64(&bytes[..CHECKSUM_AT]);
-    bytes[CHECKSUM_AT..].copy_from_slice(&checksum.to_le_bytes());
-    bytes
-}
-
-/// The record and its sequence number; `None` if it is not written, or only in part.
-fn decode(bytes: &[u8]) -> Option<(Record, u64)> {
-    let (content, checksum) = bytes.split_at_checked(CHECKSUM_AT)?;
-    if xxh3_64(content).to_le_bytes() != checksum {
-        return None;
-    }
-    let (id, sequence) = content.split_at(SEQUENCE_AT);
-    let id = IdHash::from_le_bytes(id.try_into().ok()?);
-    let sequence = u64::from_le_bytes(sequence.try_into().ok()?);
-    let record = if sequence & NEVER_EXECUTED == 0 {
-        Record::Executed(id)
-    } else {
-        Record::NeverExecuted(id)
-    };
-    Some((record, sequence & !NEVER_EXECUTED))
-}
 
-/// The file of this process, which is removed when the value is dropped.
+/// The file of this process.
 pub(super) struct Journal {
     file: File,
     path: PathBuf,
     capacity: u64,
     next: u64,
+    newest: Option<Micros>,
 }
 
 impl Journal {
-    /// Creates an empty file for this many records.
-    pub(super) fn create(path: PathBuf, capacity: usize) -> io::Result<Journal> {
+    /// Creates an empty file for this many records, whose name no file has had before.
+    pub(super) fn create(directory: &Path, capacity: usize) -> io::Result<Journal> {
+        let process = std::process::id();
+        let path = directory.join(format!("{FILE_PREFIX}{process}.{}", wall_clock()));
         let mut options = OpenOptions::new();
-        let file = options
-            .write(true)
-            .create(true)
-            .truncate(true)
-            .open(&path)?;
+        let file = options.write(true).create_new(true).open(&path)?;
+        flock(&file, FlockOperation::NonBlockingLockExclusive)?;
         file.set_len((capacity * RECORD_BYTES) as u64)?;
         Ok(Journal {
             file,
             path,
             capacity: capacity as u64,
             next: 1,
+            newest: None,
         })
     }
 
+    pub(super) fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Appends a record, over the oldest one if the ring is full. An error is ignored: the record then holds in this
     /// process only.
     pub(super) fn append(&mut self, record: Record) {
         let offset = offset(self.next, self.capacity);
-        _ = self.file.write_all_at(&encode(record, self.next), offset);
+        _ = self.file.write_all_at(&record.encode(self.next), offset);
         self.next += 1;
+        self.newest = Some(record.at);
     }
 }
 
 impl Drop for Journal {
     fn drop(&mut self) {
-        _ = fs::remove_file(&self.path);
+        let now = monotonic_clock();
+        if self.newest.is_none_or(|at| at + RETENTION <= now) {
+            _ = fs::remove_file(&self.path);
+        }
     }
 }
 
@@ -110,10 +74,11 @@
     path: PathBuf,
     capacity: u64,
     next: u64,
+    newest: Option<Micros>,
 }
 
 impl JournalReader {
-    /// `None` if the file cannot be read or has no records.
+    /// `None` if the file cannot be read, or is not complete yet.
     pub(super) fn open(path: &Path) -> Option<JournalReader> {
         let file = File::open(path).ok()?;
         let capacity = file.metadata().ok()?.len() / RECORD_BYTES as u64;
@@ -122,6 +87,7 @@
             path: path.to_owned(),
             capacity,
             next: 1,
+            newest: None,
         };
         reader.next = reader.oldest_sequence()?;
         Some(reader)
@@ -138,7 +104,7 @@
             let mut bytes = [0; RECORD_BYTES];
             let offset = offset(slot, self.capacity);
             self.file.read_exact_at(&mut bytes, offset).ok()?;
-            Some(decode(&bytes)?.1)
+            Some(Record::decode(&bytes)?.1)
         });
         (self.capacity > 0).then(|| sequences.min().unwrap_or(1))
     }
@@ -153,11 +119,12 @@
             };
             let mut found = 0;
             for bytes in buffer[..read].chunks_exact(RECORD_BYTES) {
-                match decode(bytes) {
+                match Record::decode(bytes) {
                     // A higher number is that of a record that has overwritten the next one.
                     Some((record, sequence)) if sequence >= self.next => {
                         records.push(record);
                         self.next = sequence + 1;
+                        self.newest = Some(record.at);
                         found += 1;
                     }
                     _ => break,
@@ -169,6 +136,34 @@
             }
         }
     }
+
+    /// Whether the process has ended, and nothing that has been read of its file is of use any more.
+    pub(super) fn is_obsolete(&self) -> bool {
+        self.has_owner_ended() && self.has_expired()
+    }
+
+    fn has_owner_ended(&self) -> bool {
+        let is_unlocked = flock(&self.file, FlockOperation::NonBlockingLockShared).is_ok();
+        if is_unlocked {
+            _ = flock(&self.file, FlockOperation::Unlock);
+        }
+        is_unlocked
+    }
+
+    fn has_expired(&self) -> bool {
+        let Some(newest) = self.newest else {
+            return self.is_unmodified_for(RETENTION);
+        };
+        let now = monotonic_clock();
+        // A time yet to come was recorded before the system was started.
+        newest + RETENTION <= now || newest > now
+    }
+
+    fn is_unmodified_for(&self, time: Micros) -> bool {
+        let modified = self.file.metadata().and_then(|data| data.modified());
+        let unmodified = modified.ok().and_then(|at| at.elapsed().ok());
+        unmodified.is_some_and(|unmodified| unmodified.as_micros() >= u128::from(time))
+    }
 }
 
 /// Where the record of a sequence number is.
--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -6,14 +6,16 @@
 
 mod execution;
 mod journal;
+mod record;
+mod shared_journals;
 #[cfg(test)]
 mod tests;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::header::HeaderValue;
 use oakshed_core::facade::Micros;
@@ -21,9 +23,11 @@
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::Clock;
+use super::clock::monotonic_clock;
+use super::Net;
 pub(super) use execution::{Execution, ExecutionError};
-use journal::{Journal, JournalReader, Record};
+use record::{Event, Record};
+use shared_journals::SharedJournals;
 
 /// How long an id is known, in microseconds.
 const RETENTION: Micros = 10_000_000;
@@ -34,7 +38,7 @@
 /// What an id takes, in bytes: in the map, in the order of expiry, and in the file.
 const ENTRY_BYTES: usize = 128;
 const MIN_CAPACITY: usize = 4_096;
-/// The name of a process's file, before its process id.
+/// The name of a process's journal, before its process id and the time of its start.
 const FILE_PREFIX: &str = "executed-ids.";
 
 /// The hash of an id.
@@ -46,28 +50,19 @@
     id: IdHash,
 }
 
-/// The files of the processes that share a directory.
-struct Journals {
-    directory: PathBuf,
-    own: Journal,
-    others: Vec<JournalReader>,
-}
-
 /// The ids that may have run.
 pub(crate) struct ExecutedIds {
-    clock: Clock,
     capacity: usize,
     until: RefCell<FxHashMap<IdHash, Micros>>,
     order: RefCell<VecDeque<Expiry>>,
     /// `None` if the processes share no directory.
-    journals: RefCell<Option<Journals>>,
+    journals: RefCell<Option<SharedJournals>>,
 }
 
 impl ExecutedIds {
     /// `memory` is the memory limit, in bytes.
-    pub(super) fn new(clock: Clock, memory: usize) -> Rc<ExecutedIds> {
+    pub(super) fn new(memory: usize) -> Rc<ExecutedIds> {
         Rc::new(ExecutedIds {
-            clock,
             capacity: (memory / MEMORY_DIVISOR / ENTRY_BYTES).max(MIN_CAPACITY),
             until: RefCell::default(),
             order: RefCell::default(),
@@ -75,46 +70,24 @@
         })
     }
 
-    /// Creates this process's file in the shared directory, and reads those of the others.
+    /// Creates this process's journal in the shared directory, and opens those of the others.
     pub(super) fn share(&self, directory: &Path) {
-        let path = directory.join(format!("{FILE_PREFIX}{}", std::process::id()));
-        match Journal::create(path, self.capacity) {
-            Ok(own) => {
-                *self.journals.borrow_mut() = Some(Journals {
-                    directory: directory.to_owned(),
-                    own,
-                    others: Vec::new(),
-                });
-                self.find_others();
-            }
+        match SharedJournals::open(directory, self.capacity) {
+            Ok(journals) => *self.journals.borrow_mut() = Some(journals),
             Err(error) => {
                 warn!(%error, "executed ids: {error}; another process will not know them");
             }
         }
     }
 
-    /// Looks for files of processes that have started since. Those of processes that have ended are read and removed.
+    /// Looks for the journals of processes that have started since, and removes obsolete ones.
     pub(super) fn find_others(&self) {
-        let mut journals = self.journals.borrow_mut();
-        let Some(journals) = &mut *journals else {
-            return;
-        };
-        let entries = fs::read_dir(&journals.directory).into_iter().flatten();
-        for entry in entries.flatten() {
-            let name = entry.file_name();
-            let process = name
-                .to_str()
-                .and_then(|name| name.strip_prefix(FILE_PREFIX)?.parse::<u32>().ok());
-            let Some(process) = process.filter(|process| *process != std::process::id()) else {
-                continue;
-            };
-            let path = entry.path();
-            if journals.others.iter().all(|other| other.path() != path) {
-                journals.others.extend(JournalReader::open(&path));
-            }
-            if !Path::new(&format!("/proc/{process}")).exists() {
-                _ = fs::remove_file(&path);
-            }
+        if let Some(journals) = &mut *self.journals.borrow_mut() {
+            journals.find_others();
+        }
+        self.read_others();
+        if let Some(journals) = &mut *self.journals.borrow_mut() {
+            journals.remove_obsolete();
         }
     }
 
@@ -128,37 +101,48 @@
     /// Whether another id can be recorded.
     fn has_capacity(&self) -> bool {
         let oldest_expires = self.order.borrow().front().map(|oldest| oldest.until);
-        let now = self.clock.now();
         self.order.borrow().len() < self.capacity
-            || oldest_expires.is_some_and(|until| now + RETENTION >= until + MIN_RETENTION)
+            || oldest_expires
+                .is_some_and(|until| monotonic_clock() + RETENTION >= until + MIN_RETENTION)
     }
 
     fn record(&self, id: IdHash) {
-        self.insert(id);
-        if let Some(journals) = &mut *self.journals.borrow_mut() {
-            journals.own.append(Record::Executed(id));
-        }
+        self.insert_and_append(Event::Executed, id);
     }
 
     /// Forgets an id that has not run after all.
     fn forget(&self, id: IdHash) {
-        self.until.borrow_mut().remove(&id);
+        self.insert_and_append(Event::NeverExecuted, id);
+    }
+
+    fn insert_and_append(&self, event: Event, id: IdHash) {
+        let at = monotonic_clock();
+        let record = Record { event, id, at };
+        self.apply(record);
         if let Some(journals) = &mut *self.journals.borrow_mut() {
-            journals.own.append(Record::NeverExecuted(id));
+            journals.append(record);
         }
     }
 
-    fn insert(&self, id: IdHash) {
-        let until = self.clock.now() + RETENTION;
-        self.until.borrow_mut().insert(id, until);
-        self.order.borrow_mut().push_back(Expiry { until, id });
+    /// Takes over what a process has recorded.
+    fn apply(&self, record: Record) {
+        let until = record.at.saturating_add(RETENTION);
+        match record.event {
+            Event::NeverExecuted => _ = self.until.borrow_mut().remove(&record.id),
+            Event::Executed => self.insert(record.id, until),
+        }
         while self.order.borrow().len() > self.capacity {
             self.forget_oldest();
         }
     }
 
+    fn insert(&self, id: IdHash, until: Micros) {
+        self.until.borrow_mut().insert(id, until);
+        self.order.borrow_mut().push_back(Expiry { until, id });
+    }
+
     fn forget_expired(&self) {
-        let now = self.clock.now();
+        let now = monotonic_clock();
         while self
             .order
             .borrow()
@@ -179,18 +163,15 @@
         }
     }
 
-    /// Takes over what other processes have recorded since the last call.
+    /// Takes over what other processes have recorded since the last call, but for what has expired.
     fn read_others(&self) {
-        let mut records = Vec::new();
-        if let Some(journals) = &mut *self.journals.borrow_mut() {
-            for other in &mut journals.others {
-                other.read_new(&mut records);
-            }
-        }
-        for record in records {
-            match record {
-                Record::Executed(id) => self.insert(id),
-                Record::NeverExecuted(id) => _ = self.until.borrow_mut().remove(&id),
+        let journals = &mut *self.journals.borrow_mut();
+        let records = journals.as_mut().map(SharedJournals::read_others);
+        let now = monotonic_clock();
+        for record in records.into_iter().flatten() {
+            // A time yet to come was recorded before the system was started.
+            if record.at <= now && now < record.at + RETENTION {
+                self.apply(record);
             }
         }
     }
@@ -201,6 +182,14 @@
     }
 }
 
+/// Keeps the shared directory free of obsolete journals.
+pub(super) async fn remove_obsolete_journals(net: Rc<Net>) {
+    loop {
+        tokio::time::sleep(Duration::from_micros(RETENTION)).await;
+        net.executed_ids.find_others();
+    }
+}
+
 fn hash(id: &HeaderValue) -> IdHash {
     xxh3_128(id.as_bytes())
 }
--- a/crates/server/src/net/executed_ids/tests.rs
+++ b/crates/server/src/net/executed_ids/tests.rs
@@ -3,18 +3,41 @@
 use std::path::PathBuf;
 
 use super::execution::ExecutionError;
+use super::journal::{Journal, JournalReader};
 use super::*;
 
 fn ids() -> Rc<ExecutedIds> {
-    ExecutedIds::new(Clock::new(), 0)
+    ExecutedIds::new(0)
 }
 
 fn id(text: &str) -> HeaderValue {
     HeaderValue::try_from(text).expect("a valid value")
 }
 
-fn file(directory: &tempfile::TempDir) -> PathBuf {
-    directory.path().join("executed-ids.test")
+fn executed(id: IdHash) -> Record {
+    Record {
+        event: Event::Executed,
+        id,
+        at: monotonic_clock(),
+    }
+}
+
+/// The journals in a directory.
+fn files(directory: &tempfile::TempDir) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory.path()).expect("a directory");
+    entries
+        .map(|entry| entry.expect("an entry").path())
+        .collect()
+}
+
+fn open_only_journal(directory: &tempfile::TempDir) -> JournalReader {
+    let files = files(directory);
+    assert_eq!(files.len(), 1);
+    JournalReader::open(&files[0]).expect("opened")
+}
+
+fn ids_of(records: &[Record]) -> Vec<IdHash> {
+    records.iter().map(|record| record.id).collect()
 }
 
 #[test]
@@ -49,32 +72,113 @@
 #[test]
 fn reader_gets_each_record_once_and_skips_overwritten_ones() {
     let directory = tempfile::tempdir().expect("a directory");
-    let mut journal = Journal::create(file(&directory), 100).expect("created");
-    let mut reader = JournalReader::open(&file(&directory)).expect("opened");
+    let mut journal = Journal::create(directory.path(), 100).expect("created");
+    let mut reader = open_only_journal(&directory);
     let mut read = |journal: &mut Journal, ids: std::ops::Range<u128>| {
-        ids.for_each(|id| journal.append(Record::Executed(id)));
+        ids.for_each(|id| journal.append(executed(id)));
         let mut records = Vec::new();
         reader.read_new(&mut records);
-        records
+        ids_of(&records)
     };
     assert_eq!(read(&mut journal, 0..70).len(), 70);
     assert_eq!(read(&mut journal, 70..70), []);
     let records = read(&mut journal, 70..140);
-    assert_eq!(records.first(), Some(&Record::Executed(70)));
+    assert_eq!(records.first(), Some(&70));
     assert_eq!(records.len(), 70);
     // 190 records in a ring of 100: the last ones are still read.
     let records = read(&mut journal, 140..330);
-    assert_eq!(records.last(), Some(&Record::Executed(329)));
+    assert_eq!(records.last(), Some(&329));
 }
 
 #[test]
 fn process_that_opens_a_full_ring_reads_what_is_left_of_it() {
     let directory = tempfile::tempdir().expect("a directory");
-    let mut journal = Journal::create(file(&directory), 10).expect("created");
-    (0..25).for_each(|id| journal.append(Record::Executed(id)));
-    let mut reader = JournalReader::open(&file(&directory)).expect("opened");
+    let mut journal = Journal::create(directory.path(), 10).expect("created");
+    (0..25).for_each(|id| journal.append(executed(id)));
+    let mut reader = open_only_journal(&directory);
     let mut records = Vec::new();
     reader.read_new(&mut records);
-    let expected: Vec<Record> = (15..25).map(Record::Executed).collect();
-    assert_eq!(records, expected);
+    let expected: Vec<IdHash> = (15..25).collect();
+    assert_eq!(ids_of(&records), expected);
+}
+
+#[test]
+fn record_is_read_as_it_was_written() {
+    for event in [Event::Executed, Event::NeverExecuted] {
+        let record = Record {
+            event,
+            ..executed(IdHash::MAX / 3)
+        };
+        let mut bytes = record.encode(7);
+        assert_eq!(Record::decode(&bytes), Some((record, 7)));
+        bytes[20] ^= 1;
+        assert_eq!(Record::decode(&bytes), None);
+    }
+}
+
+#[test]
+fn journal_stays_for_later_processes_until_its_records_expire() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut journal = Journal::create(directory.path(), 10).expect("created");
+    let mut reader = open_only_journal(&directory);
+    journal.append(executed(1));
+    reader.read_new(&mut Vec::new());
+    assert!(!reader.is_obsolete(), "its process runs");
+    drop(journal);
+    assert!(!reader.is_obsolete(), "its record is new");
+
+    let mut journal = Journal::create(directory.path(), 10).expect("created");
+    let path = journal.path().to_owned();
+    let mut reader = JournalReader::open(&path).expect("opened");
+    journal.append(Record {
+        at: monotonic_clock() - RETENTION,
+        ..executed(2)
+    });
+    reader.read_new(&mut Vec::new());
+    assert!(!reader.is_obsolete(), "its process runs");
+    drop(journal);
+    assert!(!path.exists());
+    assert!(reader.is_obsolete());
+}
+
+#[test]
+fn expired_records_of_an_ended_process_are_not_taken_over() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut journal = Journal::create(directory.path(), 10).expect("created");
+    let now = monotonic_clock();
+    for (text, at) in [
+        ("old", now - RETENTION),
+        ("later", now + RETENTION),
+        ("new", now),
+    ] {
+        journal.append(Record {
+            at,
+            ..executed(hash(&id(text)))
+        });
+    }
+    let ids = ids();
+    ids.share(directory.path());
+    assert!(ids.contains(hash(&id("new"))));
+    assert!(!ids.contains(hash(&id("old"))));
+    assert!(
+        !ids.contains(hash(&id("later"))),
+        "of the time before a restart of the system"
+    );
+}
+
+#[test]
+fn third_process_knows_the_ids_of_the_first() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let first = ids();
+    first.share(directory.path());
+    Execution::new(&first, &id("a")).expect("new").on_attempt();
+    let second = ids();
+    second.share(directory.path());
+    drop(first);
+    second.find_others();
+    drop(second);
+    let third = ids();
+    third.share(directory.path());
+    let again = Execution::new(&third, &id("a")).map(|_| ());
+    assert_eq!(again, Err(ExecutionError::Repeated));
 }
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -15,7 +15,7 @@
 use super::clock::{wall_clock, Clock};
 use super::counters::{log_counters, Summary};
 use super::error::ServeError;
-use super::executed_ids::ExecutedIds;
+use super::executed_ids::{remove_obsolete_journals, ExecutedIds};
 use super::hot_restart::{self, SharedDirectory};
 use super::reload::reload_on_signal;
 use super::shutdown::shut_down_on_signal;
@@ -41,7 +41,7 @@
     let (durable, store_events) = durable::open(&config, clock.now())?;
     let peers = peers::open(&config, clock.now())?;
     let directory = SharedDirectory::open(config.tmp.as_deref(), config.listen).map(Rc::new);
-    let executed_ids = ExecutedIds::new(clock, config.memory);
+    let executed_ids = ExecutedIds::new(config.memory);
     if let Some(directory) = &directory {
         executed_ids.share(directory.root());
     }
@@ -178,6 +178,7 @@
     tokio::task::spawn_local(workers::close_expired_connections(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
     tokio::task::spawn_local(memory::maintain(net.clone()));
+    tokio::task::spawn_local(remove_obsolete_journals(net.clone()));
     tokio::task::spawn_local(reload_on_signal(net.clone(), hangup));
     tokio::task::spawn_local(shut_down_on_signal(net.clone(), terminate, interrupt));
 }
--- a/crates/server/src/net/workers/tests.rs
+++ b/crates/server/src/net/workers/tests.rs
@@ -129,7 +129,7 @@
     let config = config.expect("usable");
     let facade = Facade::new(config.settings.clone(), config.seed).expect("usable");
     let clock = Clock::new();
-    let executed_ids = ExecutedIds::new(clock, config.memory);
+    let executed_ids = ExecutedIds::new(config.memory);
     Rc::new(Net::new(config, clock, facade, executed_ids, None))
 }
 
--- a/crates/server/tests/overload/duplicate_ids.rs
+++ b/crates/server/tests/overload/duplicate_ids.rs
@@ -11,6 +11,8 @@
 use crate::MEMORY_MB;
 
 const ROUNDS: u64 = 60;
+/// Processes that are killed.
+const KILLS: usize = 5;
 /// The longest time from a client's end until its id comes again, in milliseconds.
 const LONGEST_ABSENCE_MS: u64 = 200;
 /// The longest time that a client stays, in milliseconds: longer than a job runs.
@@ -101,20 +103,103 @@
     }
     let _exclusive = crate::exclusive_use();
     let mut scheduler = start();
+    let ids = ids_of_clients_that_left(&scheduler);
+    scheduler.hot_restart();
+    for id in &ids {
+        let status = send_raw(scheduler.address(), &transfer(id)).map(|answer| answer.status());
+        assert_eq!(status, Some(409), "{id}");
+    }
+    let duplicates = scheduler.workers.duplicates("transfer");
+    assert!(duplicates.is_empty(), "ran twice: {duplicates:?}");
+}
+
+/// Sends transfers, and kills the latest process while they run; returns the ids of those that were not answered.
+fn ids_cut_off_by_a_kill(scheduler: &mut Scheduler) -> Vec<String> {
+    let address = scheduler.address();
+    let clients: Vec<_> = (0..ROUNDS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let id = fresh_id("cut-off");
+                send_raw(address, &transfer(&id)).is_none().then_some(id)
+            })
+        })
+        .collect();
+    until("a job", || scheduler.workers.count("cut-off") > 0);
+    scheduler.kill_latest();
+    let ids = clients
+        .into_iter()
+        .map(|client| client.join().expect("ended"));
+    ids.flatten().collect()
+}
+
+/// Sends ids again that ran at most once before.
+#[track_caller]
+fn assert_run_once(scheduler: &Scheduler, ids: &[String]) {
+    for id in ids {
+        let status = send_raw(scheduler.address(), &transfer(id)).map(|answer| answer.status());
+        assert!(matches!(status, Some(200 | 409)), "{id}: {status:?}");
+    }
+    let duplicates = scheduler.workers.duplicates("transfer");
+    assert!(duplicates.is_empty(), "ran twice: {duplicates:?}");
+}
+
+#[test]
+fn id_does_not_run_again_at_the_predecessor_of_a_killed_process() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = start();
+    for _ in 0..KILLS {
+        scheduler.start_process();
+        let ids = ids_cut_off_by_a_kill(&mut scheduler);
+        println!("{} ids", ids.len());
+        assert_run_once(&scheduler, &ids);
+    }
+}
+
+#[test]
+fn id_does_not_run_again_at_the_next_successor_of_a_killed_process() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = start();
+    for _ in 0..KILLS {
+        scheduler.start_process();
+        let ids = ids_cut_off_by_a_kill(&mut scheduler);
+        println!("{} ids", ids.len());
+        scheduler.hot_restart();
+        assert_run_once(&scheduler, &ids);
+    }
+}
+
+/// Has clients leave while their requests run; returns their ids.
+fn ids_of_clients_that_left(scheduler: &Scheduler) -> Vec<String> {
     let ids: Vec<String> = (0..20).map(|_| fresh_id("before")).collect();
     for id in &ids {
         send_and_disconnect(scheduler.address(), id, LONGEST_STAY_MS, false);
     }
     until("the jobs", || {
-        scheduler.workers.count("before") == ids.len()
+        scheduler.workers.count("before") >= ids.len()
     });
+    ids
+}
+
+#[test]
+fn id_does_not_run_again_after_two_hot_restarts() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = start();
+    let ids = ids_of_clients_that_left(&scheduler);
     scheduler.hot_restart();
-    for id in &ids {
-        let status = send_raw(scheduler.address(), &transfer(id)).map(|answer| answer.status());
-        assert_eq!(status, Some(409), "{id}");
+    scheduler.hot_restart();
+    assert_run_once(&scheduler, &ids);
+}
+
+#[test]
+fn id_does_not_run_again_after_two_kills() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = start();
+    let ids = ids_of_clients_that_left(&scheduler);
+    for _ in 0..2 {
+        scheduler.kill_oldest();
+        scheduler.start_process();
     }
-    let duplicates = scheduler.workers.duplicates("transfer");
-    assert!(duplicates.is_empty(), "ran twice: {duplicates:?}");
+    assert_run_once(&scheduler, &ids);
 }
 
 /// A client sends an id once more if the scheduler closed the connection without having read the request.
