Look up an id again as its first byte is written, against other processes

Cause: an id was looked up as its request arrived, and recorded only as the first attempt was written. Between these the request waits for a worker, and another process that looked up the id meanwhile found nothing. A request that was never begun could also withdraw the id that the other process had recorded.

A process now looks the id up once more, records it, and then reads what the others have recorded. The other one answers 409 at once, and withdraws nothing.

--- a/crates/server/src/net/executed_ids/execution.rs
+++ b/crates/server/src/net/executed_ids/execution.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use hyper::header::HeaderValue;
+use tokio::sync::Notify;
 
 use super::{hash, ExecutedIds, IdHash};
 
@@ -22,6 +23,9 @@
     ids: Rc<ExecutedIds>,
     id: IdHash,
     recorded: Cell<bool>,
+    /// Another process has recorded the id since the request arrived here.
+    is_repeated: Cell<bool>,
+    repeated: Notify,
     /// Attempts that were begun and are not proven never to have run.
     possible_runs: Cell<u32>,
 }
@@ -43,16 +47,32 @@
             ids: ids.clone(),
             id,
             recorded: Cell::new(false),
+            is_repeated: Cell::new(false),
+            repeated: Notify::new(),
             possible_runs: Cell::new(0),
         })
     }
 
-    /// Notes that an attempt is about to be written.
-    pub(in super::super) fn on_attempt(&self) {
-        self.possible_runs.set(self.possible_runs.get() + 1);
-        if !self.recorded.replace(true) {
-            self.ids.record(self.id);
+    /// Notes that an attempt is about to be written. Returns false if it must not be.
+    #[must_use]
+    pub(in super::super) fn begin_attempt(&self) -> bool {
+        if !self.recorded.get() && !self.is_repeated.get() {
+            let is_first = self.ids.try_record(self.id);
+            self.recorded.set(is_first);
+            self.is_repeated.set(!is_first);
+        }
+        if self.is_repeated.get() {
+            self.repeated.notify_one();
+            return false;
         }
+        self.possible_runs.set(self.possible_runs.get() + 1);
+        true
+    }
+
+    /// Returns when an attempt must not be written, as the request may have run at another process.
+    pub(in super::super) async fn repeated(&self) -> ExecutionError {
+        self.repeated.notified().await;
+        ExecutionError::Repeated
     }
 
     /// Notes that such an attempt has never run.
--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -106,8 +106,14 @@
                 .is_some_and(|until| monotonic_clock() + RETENTION >= until + MIN_RETENTION)
     }
 
-    fn record(&self, id: IdHash) {
+    /// Records an id, unless a request with it may have run, here or in another process. Two processes that try at the
+    /// same time may both fail, as each reads the other's journal after it has written its own.
+    fn try_record(&self, id: IdHash) -> bool {
+        if self.contains(id) {
+            return false;
+        }
         self.insert_and_append(Event::Executed, id);
+        !self.read_others().contains(&id)
     }
 
     /// Forgets an id that has not run after all.
@@ -163,8 +169,10 @@
         }
     }
 
-    /// Takes over what other processes have recorded since the last call, but for what has expired.
-    fn read_others(&self) {
+    /// Takes over what other processes have recorded since the last call, but for what has expired. Returns the ids of
+    /// requests that may have run.
+    fn read_others(&self) -> Vec<IdHash> {
+        let mut executed = Vec::new();
         let journals = &mut *self.journals.borrow_mut();
         let records = journals.as_mut().map(SharedJournals::read_others);
         let now = monotonic_clock();
@@ -172,8 +180,10 @@
             // A time yet to come was recorded before the system was started.
             if record.at <= now && now < record.at + RETENTION {
                 self.apply(record);
+                executed.extend((record.event == Event::Executed).then_some(record.id));
             }
         }
+        executed
     }
 
     /// What the ids take, in bytes.
--- a/crates/server/src/net/executed_ids/tests.rs
+++ b/crates/server/src/net/executed_ids/tests.rs
@@ -44,13 +44,13 @@
 fn id_is_known_unless_all_attempts_have_never_run() {
     let ids = ids();
     let first = Execution::new(&ids, &id("a")).expect("new");
-    first.on_attempt();
+    assert!(first.begin_attempt());
     first.on_never_ran();
     drop(first);
     let second = Execution::new(&ids, &id("a")).expect("never ran");
-    second.on_attempt();
+    assert!(second.begin_attempt());
     second.on_never_ran();
-    second.on_attempt();
+    assert!(second.begin_attempt());
     drop(second);
     let third = Execution::new(&ids, &id("a")).map(|_| ());
     assert_eq!(third, Err(ExecutionError::Repeated));
@@ -62,7 +62,7 @@
     let ids = ids();
     for number in 0..MIN_CAPACITY {
         let execution = Execution::new(&ids, &id(&number.to_string())).expect("capacity");
-        execution.on_attempt();
+        assert!(execution.begin_attempt());
     }
     let next = Execution::new(&ids, &id("next")).map(|_| ());
     assert_eq!(next, Err(ExecutionError::NoCapacity));
@@ -171,7 +171,9 @@
     let directory = tempfile::tempdir().expect("a directory");
     let first = ids();
     first.share(directory.path());
-    Execution::new(&first, &id("a")).expect("new").on_attempt();
+    let execution = Execution::new(&first, &id("a")).expect("new");
+    assert!(execution.begin_attempt());
+    drop(execution);
     let second = ids();
     second.share(directory.path());
     drop(first);
@@ -182,3 +184,24 @@
     let again = Execution::new(&third, &id("a")).map(|_| ());
     assert_eq!(again, Err(ExecutionError::Repeated));
 }
+
+#[test]
+fn attempt_is_not_begun_if_another_process_has_begun_one_meanwhile() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let processes = [ids(), ids()];
+    for ids in &processes {
+        ids.share(directory.path());
+    }
+    processes[0].find_others();
+    let open = processes
+        .each_ref()
+        .map(|ids| Execution::new(ids, &id("a")).expect("new"));
+    assert!(open[0].begin_attempt());
+    assert!(!open[1].begin_attempt());
+    let third = ids();
+    third.share(directory.path());
+    drop(open);
+    for ids in [&processes[0], &processes[1], &third] {
+        assert!(ids.contains(hash(&id("a"))));
+    }
+}
--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -57,6 +57,14 @@
         self.reservation.as_ref()?.execution.as_ref()
     }
 
+    /// Returns when the request must not be run, as it may have run at another process since it arrived.
+    pub(super) async fn repeated(&self) -> ExecutionError {
+        match self.execution() {
+            Some(execution) => execution.repeated().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// The memory reserved for the result.
     pub(super) fn expected_result(&self) -> Option<&ExpectedResult> {
         self.reservation.as_ref().map(|r| &r.result)
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -133,16 +133,14 @@
     if let Err(error) = reservation.track_execution(net, job.class as usize, &forwarded.id) {
         return reject_request(net, client, error.into());
     }
-    perform_steps(
-        net,
-        connection,
-        &job,
-        Rc::new(ForwardedRequest {
-            reservation: Some(reservation),
-            ..forwarded
-        }),
-    )
-    .await
+    let forwarded = Rc::new(ForwardedRequest {
+        reservation: Some(reservation),
+        ..forwarded
+    });
+    tokio::select! {
+        response = perform_steps(net, connection, &job, forwarded.clone()) => response,
+        error = forwarded.repeated() => reject_request(net, client, error.into()),
+    }
 }
 
 /// Answers a request that the scheduler does not see, and counts the error.
--- a/crates/server/src/net/workers/attempt.rs
+++ b/crates/server/src/net/workers/attempt.rs
@@ -244,10 +244,15 @@
         let Ok(request) = self.forwarded.request(net.clock.now()) else {
             return Ending::Unused.into();
         };
-        let end = self.arm_write_guard(&connection, &request);
-        if let Some(execution) = self.forwarded.execution() {
-            execution.on_attempt();
+        if self
+            .forwarded
+            .execution()
+            .is_some_and(|e| !e.begin_attempt())
+        {
+            net.workers.put_back(&self.to, connection);
+            return Ending::Unused.into();
         }
+        let end = self.arm_write_guard(&connection, &request);
         let Ok(response) = connection.sender.send_request(request).await else {
             return self.classify_lost_connection(&connection).into();
         };
--- a/crates/server/tests/overload/duplicate_ids.rs
+++ b/crates/server/tests/overload/duplicate_ids.rs
@@ -1,10 +1,10 @@
 //! A request of a class that must never run twice, whose id comes again.
 
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
-use oakshed_standin::{send_raw, until};
+use oakshed_standin::{send_raw, until, Message};
 
 use crate::crowd::{fresh_id, head, Crowd, ALL};
 use crate::scheduler::{Limits, Scheduler};
@@ -113,6 +113,43 @@
     assert!(duplicates.is_empty(), "ran twice: {duplicates:?}");
 }
 
+/// Both processes accept connections, so that some of the pairs come to different ones at the same time.
+#[test]
+fn id_that_is_open_at_two_processes_runs_once() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = start();
+    scheduler.start_process();
+    let address = scheduler.address();
+    let pairs: Vec<_> = (0..ROUNDS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let text = transfer(&fresh_id("pair"));
+                let mut streams: Vec<TcpStream> = (0..2)
+                    .map(|_| TcpStream::connect(address).expect("a connection"))
+                    .collect();
+                for stream in &mut streams {
+                    stream.write_all(text.as_bytes()).expect("written");
+                }
+                streams.into_iter().map(status).collect::<Vec<u16>>()
+            })
+        })
+        .collect();
+    for pair in pairs {
+        let statuses = pair.join().expect("answered");
+        assert!(
+            statuses.iter().all(|s| [200, 409].contains(s)),
+            "{statuses:?}"
+        );
+    }
+    assert_run_once(&scheduler, &[]);
+}
+
+/// The status of the answer on a connection.
+fn status(stream: TcpStream) -> u16 {
+    let answer = Message::read(&mut BufReader::new(stream));
+    answer.expect("an answer").status()
+}
+
 /// Sends transfers, and kills the latest process while they run; returns the ids of those that were not answered.
 fn ids_cut_off_by_a_kill(scheduler: &mut Scheduler) -> Vec<String> {
     let address = scheduler.address();
