Bound the journals of ended processes, and pass a request's sender as one value

Journals of processes that have ended stay for 10 s; with many restarts in a row they would add up. A full ring is read in blocks rather than by one call a record. A test with 30 processes one after the other finds fewer than ten files.

`answer` in front/handle.rs took seven parameters; client, connection and clients are one value now. Two comments are wrapped.

--- a/crates/server/src/net/executed_ids/journal.rs
+++ b/crates/server/src/net/executed_ids/journal.rs
@@ -97,16 +97,23 @@
         &self.path
     }
 
-    /// The oldest sequence number in the ring; 1 if nothing is written.
+    /// The oldest sequence number in the ring; 1 if it is not full.
     fn oldest_sequence(&self) -> Option<u64> {
-        let slots = 1..=self.capacity;
-        let sequences = slots.filter_map(|slot| {
-            let mut bytes = [0; RECORD_BYTES];
-            let offset = offset(slot, self.capacity);
-            self.file.read_exact_at(&mut bytes, offset).ok()?;
-            Some(Record::decode(&bytes)?.1)
-        });
-        (self.capacity > 0).then(|| sequences.min().unwrap_or(1))
+        let last_slot = self.capacity.checked_sub(1)?;
+        if self.sequences_from(last_slot).is_empty() {
+            return Some(1);
+        }
+        let blocks = (0..self.capacity).step_by(READ_RECORDS);
+        blocks.flat_map(|slot| self.sequences_from(slot)).min()
+    }
+
+    /// The sequence numbers of the complete records in a block of slots.
+    fn sequences_from(&self, slot: u64) -> Vec<u64> {
+        let mut buffer = [0; READ_RECORDS * RECORD_BYTES];
+        let read = self.file.read_at(&mut buffer, slot * RECORD_BYTES as u64);
+        let records = buffer[..read.unwrap_or(0)].chunks_exact(RECORD_BYTES);
+        let decoded = records.filter_map(Record::decode);
+        decoded.map(|(_, sequence)| sequence).collect()
     }
 
     /// Appends the records that were written since the last call.
@@ -137,12 +144,13 @@
         }
     }
 
-    /// Whether the process has ended, and nothing that has been read of its file is of use any more.
-    pub(super) fn is_obsolete(&self) -> bool {
-        self.has_owner_ended() && self.has_expired()
+    /// The time of the last record that was read.
+    pub(super) fn newest(&self) -> Option<Micros> {
+        self.newest
     }
 
-    fn has_owner_ended(&self) -> bool {
+    /// Whether the process does not run any more.
+    pub(super) fn has_owner_ended(&self) -> bool {
         let is_unlocked = flock(&self.file, FlockOperation::NonBlockingLockShared).is_ok();
         if is_unlocked {
             _ = flock(&self.file, FlockOperation::Unlock);
@@ -150,7 +158,8 @@
         is_unlocked
     }
 
-    fn has_expired(&self) -> bool {
+    /// Whether nothing that has been read of the file is of use any more.
+    pub(super) fn has_expired(&self) -> bool {
         let Some(newest) = self.newest else {
             return self.is_unmodified_for(RETENTION);
         };
--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -24,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::clock::monotonic_clock;
+use super::transient::retry_at_start;
 use super::Net;
 pub(super) use execution::{Execution, ExecutionError};
 use record::{Event, Record};
@@ -72,8 +73,12 @@
 
     /// Creates this process's journal in the shared directory, and opens those of the others.
     pub(super) fn share(&self, directory: &Path) {
-        match SharedJournals::open(directory, self.capacity) {
-            Ok(journals) => *self.journals.borrow_mut() = Some(journals),
+        let open = || SharedJournals::open(directory, self.capacity);
+        match retry_at_start(open) {
+            Ok(journals) => {
+                *self.journals.borrow_mut() = Some(journals);
+                self.find_others();
+            }
             Err(error) => {
                 warn!(%error, "executed ids: {error}; another process will not know them");
             }
--- a/crates/server/src/net/executed_ids/shared_journals.rs
+++ b/crates/server/src/net/executed_ids/shared_journals.rs
@@ -1,5 +1,6 @@
 //! The journals of all processes of a scheduler, which share a directory.
 
+use std::cmp::Reverse;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -8,6 +9,9 @@
 use super::record::Record;
 use super::FILE_PREFIX;
 
+/// How many journals of processes that have ended are kept at most.
+const MAX_ENDED: usize = 8;
+
 /// The journal of this process, and those of the others.
 pub(super) struct SharedJournals {
     directory: PathBuf,
@@ -16,15 +20,13 @@
 }
 
 impl SharedJournals {
-    /// Creates this process's journal for this many records, and opens those of the others.
+    /// Creates this process's journal for this many records.
     pub(super) fn open(directory: &Path, capacity: usize) -> io::Result<SharedJournals> {
-        let mut journals = SharedJournals {
+        Ok(SharedJournals {
             directory: directory.to_owned(),
             own: Journal::create(directory, capacity)?,
             others: Vec::new(),
-        };
-        journals.find_others();
-        Ok(journals)
+        })
     }
 
     pub(super) fn append(&mut self, record: Record) {
@@ -54,14 +56,18 @@
         records
     }
 
-    /// Removes the journals that are of no use any more to any process.
+    /// Removes the journals that are of no use any more to any process, and the older ones of very many processes that
+    /// ended one after the other.
     pub(super) fn remove_obsolete(&mut self) {
+        self.others.sort_by_key(|other| Reverse(other.newest()));
+        let mut ended = 0;
         self.others.retain(|other| {
-            let is_obsolete = other.is_obsolete();
-            if is_obsolete {
+            ended += usize::from(other.has_owner_ended());
+            let is_removed = other.has_owner_ended() && (other.has_expired() || ended > MAX_ENDED);
+            if is_removed {
                 _ = fs::remove_file(other.path());
             }
-            !is_obsolete
+            !is_removed
         });
     }
 }
--- a/crates/server/src/net/executed_ids/tests.rs
+++ b/crates/server/src/net/executed_ids/tests.rs
@@ -123,9 +123,10 @@
     let mut reader = open_only_journal(&directory);
     journal.append(executed(1));
     reader.read_new(&mut Vec::new());
-    assert!(!reader.is_obsolete(), "its process runs");
+    assert!(!reader.has_owner_ended());
     drop(journal);
-    assert!(!reader.is_obsolete(), "its record is new");
+    assert!(reader.has_owner_ended());
+    assert!(!reader.has_expired());
 
     let mut journal = Journal::create(directory.path(), 10).expect("created");
     let path = journal.path().to_owned();
@@ -135,10 +136,11 @@
         ..executed(2)
     });
     reader.read_new(&mut Vec::new());
-    assert!(!reader.is_obsolete(), "its process runs");
+    assert!(!reader.has_owner_ended());
     drop(journal);
     assert!(!path.exists());
-    assert!(reader.is_obsolete());
+    assert!(reader.has_owner_ended());
+    assert!(reader.has_expired());
 }
 
 #[test]
@@ -205,3 +207,19 @@
         assert!(ids.contains(hash(&id("a"))));
     }
 }
+
+#[test]
+fn journals_of_processes_that_end_one_after_the_other_are_bounded() {
+    let directory = tempfile::tempdir().expect("a directory");
+    for number in 0..30 {
+        let ids = ids();
+        ids.share(directory.path());
+        let execution = Execution::new(&ids, &id(&number.to_string())).expect("new");
+        assert!(execution.begin_attempt());
+    }
+    assert!(files(&directory).len() < 10, "{:?}", files(&directory));
+    let last = ids();
+    last.share(directory.path());
+    assert!(last.contains(hash(&id("29"))));
+    assert!(last.contains(hash(&id("22"))));
+}
--- a/crates/server/src/net/forwarded_request.rs
+++ b/crates/server/src/net/forwarded_request.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// The id of one request in [`OpenRequests`], and the memory for its body. It is part of the `ForwardedRequest`, which handler and attempts
-/// share, as an attempt that must not be cancelled outlives its client.
+/// The id of one request in [`OpenRequests`], and the memory for its body. It is part of the `ForwardedRequest`, which
+/// handler and attempts share, as an attempt that must not be cancelled outlives its client.
 pub(crate) struct Reservation {
     open: Rc<OpenRequests>,
     memory: Rc<Memory>,
@@ -127,8 +127,9 @@
         })
     }
 
-    /// Reserves memory for a body in place of what was reserved for it before, unless the bodies' part of the memory, or
-    /// all of it, is used up. The last quarter of it is for small bodies, so that large ones that come slowly do not keep them out.
+    /// Reserves memory for a body in place of what was reserved for it before, unless the bodies' part of the memory,
+    /// or all of it, is used up. The last quarter of it is for small bodies, so that large ones that come slowly do not
+    /// keep them out.
     pub(super) fn reserve_body(&mut self, bytes: usize) -> bool {
         let limit = self.memory.share() / BODY_MEMORY_DIVISOR;
         let limit = if bytes <= SMALL_BODY_BYTES {
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -52,17 +52,12 @@
         class,
         entry: RefCell::new(None),
     };
-    let may_wait = || !(client.state.is_pipelined() && clients.is_crowded(net.clock.now()));
-    let response = answer(
-        net,
+    let sender = Sender {
+        clients,
         client,
         connection,
-        &accounting,
-        may_wait,
-        arrived,
-        (head, body),
-    )
-    .await;
+    };
+    let response = answer(net, &sender, &accounting, arrived, (head, body)).await;
     let end = match response.status() {
         StatusCode::OK => RequestOutcome::Completed,
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => RequestOutcome::Rejected,
@@ -74,6 +69,20 @@
     response
 }
 
+/// Where a request comes from.
+struct Sender<'a> {
+    clients: &'a Clients,
+    client: &'a Client,
+    connection: &'a ClientConnection,
+}
+
+impl Sender<'_> {
+    /// Whether its request may wait for an answer: a pipelined one may not while other clients wait for a connection.
+    fn may_wait(&self, now: Micros) -> bool {
+        !(self.client.state.is_pipelined() && self.clients.is_crowded(now))
+    }
+}
+
 /// Counts a request from its complete arrival or its answer, whichever is first.
 struct Accounting<'a> {
     net: &'a Net,
@@ -97,13 +106,12 @@
 /// Reads a request, then processes it as a durable job or as a plain request; rejects one that may not wait.
 async fn answer(
     net: &Rc<Net>,
-    client: &Client,
-    connection: &ClientConnection,
+    sender: &Sender<'_>,
     accounting: &Accounting<'_>,
-    may_wait: impl Fn() -> bool,
     arrived: Micros,
     (head, body): (Parts, Incoming),
 ) -> Response<Full<Bytes>> {
+    let client = sender.client;
     let options = durable::JobOptions::read(&head.headers);
     let ArrivedRequest {
         job,
@@ -121,7 +129,7 @@
     accounting.on_arrived();
     client.has_sent_request.set(true);
     client.idle_since.set(None);
-    if !may_wait() {
+    if !sender.may_wait(net.clock.now()) {
         return reject_request(net, client, RequestError::Pipelined);
     }
     if net.durable.is_some() {
@@ -138,7 +146,7 @@
         ..forwarded
     });
     tokio::select! {
-        response = perform_steps(net, connection, &job, forwarded.clone()) => response,
+        response = perform_steps(net, sender.connection, &job, forwarded.clone()) => response,
         error = forwarded.repeated() => reject_request(net, client, error.into()),
     }
 }
