Repeat a stall's round in which the connection to the worker was not idle yet

`no_attempt_begins_after_disconnect_during_stall` failed once beside load: "WorkerRecv: no stop before an attempt". Traced: an answer is served at the worker's last line, before the end of its stream. Until that end has been read too, its connection is not idle, so that the next attempt opens another one, whose first recv comes after the attempt.

--- a/crates/server/tests/system_calls/stalls.rs
+++ b/crates/server/tests/system_calls/stalls.rs
@@ -91,6 +91,15 @@
     for_each_row(rows, disconnect_at_each_call);
 }
 
+/// Disconnects the client while the process is stopped. Returns whether its attempt had not begun.
+fn disconnect(program: &Program, worker: &Peer, client: TcpStream, id: &str) -> bool {
+    client.shutdown(Shutdown::Both).expect("closed");
+    std::thread::sleep(MAX_PROCESS_PAUSE);
+    let has_begun = has_arrived(worker, id);
+    program.signal("-CONT");
+    !has_begun
+}
+
 fn disconnect_at_each_call(stop_at: StopAt) {
     let worker = match stop_at {
         StopAt::WorkerConnect => closing_worker(),
@@ -100,12 +109,13 @@
     let faults = Faults::new(&stop_at.row(&worker, &discovery));
     let mut program = start_with_faults(&discovery, &faults, &LONG_OBJECTIVE);
     let mut disconnected: Vec<String> = Vec::new();
-    for number in 0..MAX_CALLS {
+    for round in 0..MAX_CALLS {
         // Leaves an idle connection to the worker, unless that closes its connections.
-        let next = program.send(&request("transfer", &format!("next-{number}")));
+        let next = program.send(&request("transfer", &format!("next-{round}")));
         assert_eq!(next.status(), 200, "{stop_at:?}");
-        let id = format!("disconnected-{number}");
+        let id = format!("disconnected-{round}");
         let mut client = connect_client(&program);
+        let passed_calls = disconnected.len() as u64;
         let before = faults.strikes(0);
         faults.switch(0, Switch::On);
         client
@@ -113,23 +123,20 @@
             .expect("written");
         let mut strikes = before + 1;
         let mut is_stopped = wait_for_stop_or_answer(&program, &faults, 0, strikes, &client);
-        while is_stopped && strikes <= before + number {
+        while is_stopped && strikes <= before + passed_calls {
             program.signal("-CONT");
             strikes += 1;
             is_stopped = wait_for_stop_or_answer(&program, &faults, 0, strikes, &client);
         }
         faults.switch(0, Switch::Off);
-        if !is_stopped {
-            break;
-        }
-        client.shutdown(Shutdown::Both).expect("closed");
-        std::thread::sleep(MAX_PROCESS_PAUSE);
-        let has_begun = has_arrived(&worker, &id);
-        program.signal("-CONT");
-        if has_begun {
+        let was_before_attempt = is_stopped && disconnect(&program, &worker, client, &id);
+        if was_before_attempt {
+            disconnected.push(id);
+        } else if !disconnected.is_empty() {
             break;
         }
-        disconnected.push(id);
+        // Otherwise the connection was not idle yet, as the end of the answer before had not been read, and another one
+        // was opened, which is read only after the attempt.
     }
     program.signal("-TERM");
     assert_eq!(program.wait().code(), Some(0));
