--- a/crates/server/tests/overload/scheduler.rs
+++ b/crates/server/tests/overload/scheduler.rs
@@ -1,9 +1,9 @@
 //! The successive processes of one scheduler, at one address and in one shared directory.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use oakshed_standin::{config, until, Discovery, Place, Program, ADMIN};
 
@@ -33,18 +33,40 @@
     pub processes: Vec<Program>,
 }
 
-/// The program as it is deployed, if it has been built; otherwise the one that is built for the tests.
+/// The program as it is deployed, if it has been built from the present sources; otherwise the one that is built for the
+/// tests, which is slower and larger.
 fn binary() -> PathBuf {
     let built_for_tests = Program::binary();
     let target = built_for_tests.ancestors().nth(2).expect("target folder");
     let release = target.join("release/oakshed");
-    let modified = |path: &PathBuf| path.metadata().and_then(|m| m.modified()).ok();
-    if modified(&release) >= modified(&built_for_tests) || std::env::var_os("CI").is_some() {
+    if modified(&release) >= newest_source() || std::env::var_os("CI").is_some() {
         return release;
     }
     built_for_tests
 }
 
+fn modified(path: &Path) -> Option<SystemTime> {
+    path.metadata().and_then(|data| data.modified()).ok()
+}
+
+/// When the newest source file of any crate was changed.
+fn newest_source() -> Option<SystemTime> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent()?;
+    let entries = std::fs::read_dir(crates).ok()?.flatten();
+    entries
+        .filter_map(|entry| newest_file(&entry.path().join("src")))
+        .max()
+}
+
+fn newest_file(directory: &Path) -> Option<SystemTime> {
+    let entries = std::fs::read_dir(directory).ok()?.flatten();
+    let times = entries.filter_map(|entry| match entry.path() {
+        path if path.is_dir() => newest_file(&path),
+        path => modified(&path),
+    });
+    times.max()
+}
+
 impl Scheduler {
     pub fn start(limits: Limits) -> Scheduler {
         Scheduler::start_with(limits, &[])
