--- a/crates/server/tests/daily/calls.rs
+++ b/crates/server/tests/daily/calls.rs
@@ -85,11 +85,8 @@
         log.contains("ROUTER_ADMIN") && log.contains("operators"),
         "{log}"
     );
-    let used = std::net::TcpListener::bind("127.0.0.1:0")
-        .expect("a port")
-        .local_addr()
-        .expect("its address");
-    let _listener = std::net::TcpListener::bind(used).expect("bound");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let used = listener.local_addr().expect("its address");
     let (status, log) = start(&used.to_string());
     assert_eq!(status, Some(1));
     assert!(
