--- a/crates/server/src/net/executed_ids/journal.rs
+++ b/crates/server/src/net/executed_ids/journal.rs
@@ -68,9 +68,10 @@
     }
 }
 
-/// The file of another process.
+/// The file of another process, which is closed once that has ended and all of its records have been read.
 pub(super) struct JournalReader {
-    file: File,
+    file: Option<File>,
+    has_owner_ended: bool,
     path: PathBuf,
     capacity: u64,
     next: u64,
@@ -83,7 +84,8 @@
         let file = File::open(path).ok()?;
         let capacity = file.metadata().ok()?.len() / RECORD_BYTES as u64;
         let mut reader = JournalReader {
-            file,
+            file: Some(file),
+            has_owner_ended: false,
             path: path.to_owned(),
             capacity,
             next: 1,
@@ -110,8 +112,8 @@
     /// The sequence numbers of the complete records in a block of slots.
     fn sequences_from(&self, slot: u64) -> Vec<u64> {
         let mut buffer = [0; READ_RECORDS * RECORD_BYTES];
-        let read = self.file.read_at(&mut buffer, slot * RECORD_BYTES as u64);
-        let records = buffer[..read.unwrap_or(0)].chunks_exact(RECORD_BYTES);
+        let read = self.read_at(&mut buffer, slot * RECORD_BYTES as u64);
+        let records = buffer[..read].chunks_exact(RECORD_BYTES);
         let decoded = records.filter_map(Record::decode);
         decoded.map(|(_, sequence)| sequence).collect()
     }
@@ -121,9 +123,7 @@
         let mut buffer = [0; READ_RECORDS * RECORD_BYTES];
         loop {
             let offset = offset(self.next, self.capacity);
-            let Ok(read) = self.file.read_at(&mut buffer, offset) else {
-                return;
-            };
+            let read = self.read_at(&mut buffer, offset);
             let mut found = 0;
             for bytes in buffer[..read].chunks_exact(RECORD_BYTES) {
                 match Record::decode(bytes) {
@@ -149,13 +149,28 @@
         self.newest
     }
 
-    /// Whether the process does not run any more.
-    pub(super) fn has_owner_ended(&self) -> bool {
-        let is_unlocked = flock(&self.file, FlockOperation::NonBlockingLockShared).is_ok();
-        if is_unlocked {
-            _ = flock(&self.file, FlockOperation::Unlock);
+    /// Reads what is there; 0 bytes if nothing can be read.
+    fn read_at(&self, buffer: &mut [u8], offset: u64) -> usize {
+        let read = self.file.as_ref().map(|file| file.read_at(buffer, offset));
+        read.and_then(Result::ok).unwrap_or(0)
+    }
+
+    /// Finds out whether the process still runs. One that has ended writes no more records.
+    pub(super) fn check_owner(&mut self) {
+        if let Some(file) = &self.file {
+            self.has_owner_ended = flock(file, FlockOperation::NonBlockingLockShared).is_ok();
+            _ = flock(file, FlockOperation::Unlock);
         }
-        is_unlocked
+    }
+
+    /// Whether the process had ended when that was last checked.
+    pub(super) fn has_owner_ended(&self) -> bool {
+        self.has_owner_ended
+    }
+
+    /// Closes the file, whose records have all been read.
+    pub(super) fn close(&mut self) {
+        self.file = None;
     }
 
     /// Whether nothing that has been read of the file is of use any more.
@@ -169,7 +184,7 @@
     }
 
     fn is_unmodified_for(&self, time: Micros) -> bool {
-        let modified = self.file.metadata().and_then(|data| data.modified());
+        let modified = fs::metadata(&self.path).and_then(|data| data.modified());
         let unmodified = modified.ok().and_then(|at| at.elapsed().ok());
         unmodified.is_some_and(|unmodified| unmodified.as_micros() >= u128::from(time))
     }
--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -92,7 +92,7 @@
         }
         self.read_others();
         if let Some(journals) = &mut *self.journals.borrow_mut() {
-            journals.remove_obsolete();
+            journals.close_ended();
         }
     }
 
--- a/crates/server/src/net/executed_ids/shared_journals.rs
+++ b/crates/server/src/net/executed_ids/shared_journals.rs
@@ -33,7 +33,7 @@
         self.own.append(record);
     }
 
-    /// Opens the journals of processes that have started since the last call.
+    /// Opens the journals of processes that have started since the last call, and finds out which processes have ended.
     pub(super) fn find_others(&mut self) {
         let entries = fs::read_dir(&self.directory).into_iter().flatten();
         for entry in entries.flatten() {
@@ -45,6 +45,9 @@
                 self.others.extend(JournalReader::open(&path));
             }
         }
+        for other in &mut self.others {
+            other.check_owner();
+        }
     }
 
     /// The records that other processes have written since the last call.
@@ -56,18 +59,22 @@
         records
     }
 
-    /// Removes the journals that are of no use any more to any process, and the older ones of very many processes that
-    /// ended one after the other.
-    pub(super) fn remove_obsolete(&mut self) {
+    /// Closes the journals of processes that had ended before the last records were read. Removes those that have
+    /// expired, and the older ones of very many processes that ended one after the other.
+    pub(super) fn close_ended(&mut self) {
         self.others.sort_by_key(|other| Reverse(other.newest()));
         let mut ended = 0;
-        self.others.retain(|other| {
-            ended += usize::from(other.has_owner_ended());
-            let is_removed = other.has_owner_ended() && (other.has_expired() || ended > MAX_ENDED);
-            if is_removed {
+        self.others.retain_mut(|other| {
+            if !other.has_owner_ended() {
+                return true;
+            }
+            ended += 1;
+            other.close();
+            let is_kept = ended <= MAX_ENDED && !other.has_expired();
+            if !is_kept {
                 _ = fs::remove_file(other.path());
             }
-            !is_removed
+            is_kept
         });
     }
 }
--- a/crates/server/src/net/executed_ids/tests.rs
+++ b/crates/server/src/net/executed_ids/tests.rs
@@ -123,8 +123,10 @@
     let mut reader = open_only_journal(&directory);
     journal.append(executed(1));
     reader.read_new(&mut Vec::new());
+    reader.check_owner();
     assert!(!reader.has_owner_ended());
     drop(journal);
+    reader.check_owner();
     assert!(reader.has_owner_ended());
     assert!(!reader.has_expired());
 
@@ -136,8 +138,10 @@
         ..executed(2)
     });
     reader.read_new(&mut Vec::new());
+    reader.check_owner();
     assert!(!reader.has_owner_ended());
     drop(journal);
+    reader.check_owner();
     assert!(!path.exists());
     assert!(reader.has_owner_ended());
     assert!(reader.has_expired());
