Keep an id that one process gave up and another one ran later

A process that starts reads the journals of several others, one after the other.

A record now counts by its time: an id is removed only by a record that is later than the one that it was entered by, and never gets an earlier time.

--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -135,21 +135,32 @@
         }
     }
 
-    /// Takes over what a process has recorded.
+    /// Takes over what a process has recorded. The records of different processes come in any order.
     fn apply(&self, record: Record) {
         let until = record.at.saturating_add(RETENTION);
         match record.event {
-            Event::NeverExecuted => _ = self.until.borrow_mut().remove(&record.id),
             Event::Executed => self.insert(record.id, until),
-        }
-        while self.order.borrow().len() > self.capacity {
-            self.forget_oldest();
+            Event::NeverExecuted => self.remove(record.id, until),
         }
     }
 
     fn insert(&self, id: IdHash, until: Micros) {
+        if self.until.borrow().get(&id) >= Some(&until) {
+            return;
+        }
         self.until.borrow_mut().insert(id, until);
         self.order.borrow_mut().push_back(Expiry { until, id });
+        while self.order.borrow().len() > self.capacity {
+            self.forget_oldest();
+        }
+    }
+
+    /// Removes an id, unless a process has recorded it later.
+    fn remove(&self, id: IdHash, until: Micros) {
+        let mut entries = self.until.borrow_mut();
+        if entries.get(&id) <= Some(&until) {
+            entries.remove(&id);
+        }
     }
 
     fn forget_expired(&self) {
--- a/crates/server/src/net/executed_ids/tests.rs
+++ b/crates/server/src/net/executed_ids/tests.rs
@@ -227,3 +227,31 @@
     assert!(last.contains(hash(&id("29"))));
     assert!(last.contains(hash(&id("22"))));
 }
+
+/// One process gives a request up, and then another one runs it.
+#[test]
+fn id_that_ran_later_stays_known_in_whichever_order_journals_are_read() {
+    let id = hash(&id("a"));
+    let record = |event, after: Micros| Record {
+        event,
+        id,
+        at: monotonic_clock() - RETENTION / 2 + after,
+    };
+    let given_up = [
+        record(Event::Executed, 0),
+        record(Event::NeverExecuted, 1_000),
+    ];
+    let ran = record(Event::Executed, 2_000);
+    let orders = [
+        [given_up[0], given_up[1], ran],
+        [given_up[0], ran, given_up[1]],
+        [ran, given_up[0], given_up[1]],
+    ];
+    for records in orders {
+        let ids = ids();
+        for record in records {
+            ids.apply(record);
+        }
+        assert!(ids.contains(id), "{records:?}");
+    }
+}
