Wait for a predecessor's socket while another process runs

Cause: a ready successor has put its own socket in the directory's place. If it is killed, its predecessor puts its own there again once it has noticed. A process that started before that was refused, took this for an ordinary start, and served beside the other one without knowing it: each used the whole limit. A list of each process's memory showed 20 and 15 MB for seconds.

A process that finds no listener now asks again, for up to the second that the exchange may take, as long as another process of the scheduler runs. That is known by the locks on the journals of ids. A plain start, and one after a kill, wait for nothing.

Evidence: the new test stops the predecessor while a successor is killed and the next one starts; it failed before and passes now.

--- a/crates/server/src/net/executed_ids/mod.rs
+++ b/crates/server/src/net/executed_ids/mod.rs
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Whether another process runs that shares the directory, as of now.
+    pub(super) fn is_other_running(&self) -> bool {
+        self.find_others();
+        let journals = self.journals.borrow();
+        journals
+            .as_ref()
+            .is_some_and(SharedJournals::is_other_running)
+    }
+
     /// Whether a request with this id may have run, here or in another process.
     fn contains(&self, id: IdHash) -> bool {
         self.read_others();
--- a/crates/server/src/net/executed_ids/shared_journals.rs
+++ b/crates/server/src/net/executed_ids/shared_journals.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether a process that shares the directory was running when that was last found out.
+    pub(super) fn is_other_running(&self) -> bool {
+        self.others.iter().any(|other| !other.has_owner_ended())
+    }
+
     /// The records that other processes have written since the last call.
     pub(super) fn read_others(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
--- a/crates/server/src/net/hot_restart/successor.rs
+++ b/crates/server/src/net/hot_restart/successor.rs
@@ -21,7 +21,7 @@
 use super::error::HotRestartError;
 use super::fingerprint::configuration_fingerprint;
 use super::message::{Message, HELLO, MAX_BODY_LENGTH};
-use super::EXCHANGE_TIMEOUT;
+use super::{EXCHANGE_TIMEOUT, POLL_PERIOD};
 use crate::config::Config;
 use crate::list::Answer;
 use oakshed_core::facade::{HandoverState, WarmingWorker};
@@ -41,13 +41,24 @@
     pub link: BlockingStream,
 }
 
-/// Takes over from the predecessor; `None` if there is none or the exchange fails. Blocks the thread, as this
-/// process does not serve yet.
+/// Takes over from the predecessor; `None` if there is none or the exchange fails. While `is_other_running` says that
+/// another process of the scheduler runs, its socket is waited for. Blocks the thread, as this process does not serve yet.
 pub(in super::super) fn take_over(
     directory: &SharedDirectory,
     config: &Config,
+    is_other_running: impl Fn() -> bool,
 ) -> Option<Inherited> {
-    match request_socket(directory, config) {
+    let until = Instant::now() + EXCHANGE_TIMEOUT;
+    let mut exchange = request_socket(directory, config);
+    // The socket may be that of another successor, which has ended before its predecessor has noticed.
+    while exchange.as_ref().is_err_and(has_no_listener)
+        && is_other_running()
+        && Instant::now() < until
+    {
+        std::thread::sleep(POLL_PERIOD);
+        exchange = request_socket(directory, config);
+    }
+    match exchange {
         Ok((inherited, same_configuration)) => {
             let remark = if same_configuration {
                 ""
@@ -58,14 +69,7 @@
             Some(inherited)
         }
         // No process listens in the directory: an ordinary start.
-        Err(HotRestartError::Io(e))
-            if matches!(
-                e.kind(),
-                io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused
-            ) =>
-        {
-            None
-        }
+        Err(e) if has_no_listener(&e) => None,
         Err(e) => {
             warn!(error = %e, "hot restart: {e}; starting without a predecessor");
             None
@@ -73,6 +77,17 @@
     }
 }
 
+/// Whether no process listens in the directory.
+fn has_no_listener(error: &HotRestartError) -> bool {
+    let HotRestartError::Io(error) = error else {
+        return false;
+    };
+    matches!(
+        error.kind(),
+        io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused
+    )
+}
+
 /// Runs the whole exchange. Also returns whether the predecessor has the same configuration.
 fn request_socket(
     directory: &SharedDirectory,
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -45,7 +45,8 @@
     if let Some(directory) = &directory {
         executed_ids.share(directory.root());
     }
-    let resources = StartupResources::open(directory, &mut config, &mut facade, clock)?;
+    let resources =
+        StartupResources::open(directory, &mut config, &mut facade, clock, &executed_ids)?;
     if let Some(notice) = durable::missing_lease_notice(&config) {
         info!("store: {notice}");
     }
@@ -112,10 +113,11 @@
         config: &mut Config,
         facade: &mut Facade,
         clock: Clock,
+        executed_ids: &ExecutedIds,
     ) -> Result<StartupResources, ServeError> {
-        let inherited = directory
-            .as_ref()
-            .and_then(|directory| hot_restart::take_over(directory, config));
+        let inherited = directory.as_ref().and_then(|directory| {
+            hot_restart::take_over(directory, config, || executed_ids.is_other_running())
+        });
         let mut inherited_list = false;
         let mut predecessor = None;
         let listener = match inherited {
--- a/crates/server/tests/overload/memory_limit.rs
+++ b/crates/server/tests/overload/memory_limit.rs
@@ -118,3 +118,17 @@
     ALL,
     Scheduler::hot_restart
 );
+
+/// The next process must share the limits with the oldest one too.
+#[test]
+fn process_that_follows_a_killed_successor_at_once_takes_over() {
+    let _exclusive = crate::exclusive_use();
+    let mut scheduler = Scheduler::start(Limits {
+        memory_mb: MEMORY_MB,
+        sockets: 512,
+    });
+    scheduler.start_process();
+    scheduler.replace_successor_at_once();
+    let log = scheduler.processes[1].log();
+    assert!(log.contains("took over the socket"), "{log}");
+}
--- a/crates/server/tests/overload/scheduler.rs
+++ b/crates/server/tests/overload/scheduler.rs
@@ -12,6 +12,8 @@
 
 /// When SIGKILL follows SIGTERM at the earliest: the longest deadline, taken as 3 s where it is longer, and 0.7 s.
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// Within this a process has asked for its predecessor's socket, and still waits for the answer.
+const START_TIME: Duration = Duration::from_millis(500);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The limits of a scheduler.
@@ -93,7 +95,7 @@
         self.place.listen
     }
 
-    /// Starts another process, which takes over from one that runs.
+    /// Starts another process, which takes over from one that runs, and waits until it is ready.
     pub fn start_process(&mut self) {
         let template = config(
             self.discovery.peer.address,
@@ -132,6 +134,21 @@
         });
     }
 
+    /// Has the oldest process notice only together that the latest one is killed and that another one has started.
+    pub fn replace_successor_at_once(&mut self) {
+        self.processes[0].signal("-STOP");
+        until("a stop", || self.processes[0].is_stopped());
+        self.kill_latest();
+        let oldest = self.processes[0].child.id().to_string();
+        let resume = std::thread::spawn(move || {
+            std::thread::sleep(START_TIME);
+            Command::new("kill").args(["-CONT", &oldest]).status()
+        });
+        self.start_process();
+        let resumed = resume.join().expect("no panic").expect("kill runs");
+        assert!(resumed.success());
+    }
+
     /// Kills the oldest process, as the platform does.
     pub fn kill_oldest(&mut self) {
         drop(self.processes.remove(0));
