Confirm a withdrawal of a durable job only once its record is synced

Cause: `Jobs::cancel` returned its outcome as a plain value, and the server answered with it while the record was on its way to the thread of the store.

Change: a reply is a `Provisional` with the number of the record behind it, which only `Jobs::confirm` opens once that record is durable. The server waits for it, up to 1 s for `DELETE` and `GET`, and gives 504 otherwise. On related paths: 422, `GET /jobs/ID`, settlements and their log line wait too; a detached submission that meets the rejection of its job while that is written is rejected, where it was accepted and forgotten; a job whose lease is still being written can be withdrawn; a repeated `DELETE` gives 200; a connection with an unanswered `DELETE` is not idle; a `GET` that waits is answered at a shutdown. `Effect::Accepted` and the waiters for it are gone. The simulation kills the scheduler between a reply and its sync, cancels at any time, and has operators who settle.

--- a/crates/jobs/src/disk.rs
+++ b/crates/jobs/src/disk.rs
@@ -155,6 +155,7 @@
     };
     let path = dir.join(format!("settle-{id}-{suffix}"));
     File::create(&path)?.sync_all()?;
+    File::open(dir)?.sync_all()?;
     Ok(path)
 }
 
--- a/crates/jobs/src/machine/clients.rs
+++ b/crates/jobs/src/machine/clients.rs
@@ -1,13 +1,13 @@
 //! Requests of clients and operators: submission, cancellation, status and settlement.
 //!
-//! An answer is visible to clients and operators only once it is durable.
+//! Clients and operators get replies as [`Provisional`], which are given once the record behind them is durable.
 
 use std::rc::Rc;
 
 use oakshed_core::facade::{Facade, Micros};
 
 use super::job::{Attempt, AttemptState, Job, Stage};
-use super::{Effect, JobStatus, Jobs, Pending, Submitted};
+use super::{Cancellation, JobStatus, Jobs, Provisional, Submitted};
 use crate::record::{Answer, JobId, JobPayload, Outcome};
 
 impl Jobs {
@@ -42,12 +42,21 @@
         self.bytes += job.bytes;
         self.jobs.insert(id, job);
         self.write_accepted(id);
-        self.after_sync(Pending::Effect(Effect::Accepted(id)));
+        let record = self.await_last_record(id);
         // Scheduled before the job is durable, so that the scheduler's decisions are written and synced
         // together with the job's acceptance.
         self.process_due(id, facade);
         self.advance_woken_jobs(now, facade);
-        Submitted::Open
+        Submitted::Open(Provisional::after(record, ()))
+    }
+
+    /// Has all replies about a job wait for the last record that was written. Returns the record's number.
+    pub(super) fn await_last_record(&mut self, id: JobId) -> u64 {
+        let record = self.next_record - 1;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.status_record = record;
+        }
+        record
     }
 
     /// Returns the outcome of a submission of a known job, or `None` if the job is to be accepted, because it
@@ -56,17 +65,22 @@
         let job = self.jobs.get_mut(&id)?;
         if job.fingerprint != fingerprint {
             self.counts.conflicts += 1;
-            return Some(Submitted::Conflict);
+            let conflict = Provisional::after(job.status_record, ());
+            return Some(Submitted::Conflict(conflict));
         }
         self.counts.resubmitted += 1;
         job.detached |= detached;
         match &job.stage {
             // A rejected job may be submitted again.
             Stage::Finished(Answer::Rejected(_), number) if *number <= self.last_synced => None,
-            Stage::Finished(answer, number) if *number <= self.last_synced => {
-                Some(Submitted::Finished(answer.clone()))
+            Stage::Finished(answer, number) => {
+                let answer = Provisional::after(*number, answer.clone());
+                Some(Submitted::Finished(answer))
+            }
+            Stage::Waiting | Stage::Scheduled(_) => {
+                let accepted = Provisional::after(job.status_record, ());
+                Some(Submitted::Open(accepted))
             }
-            _ => Some(Submitted::Open),
         }
     }
 
@@ -94,38 +108,56 @@
         attempts
     }
 
-    /// Cancels a job unless it may have run. Returns whether the job was cancelled, or `None` if the job is
-    /// unknown.
-    pub fn cancel(&mut self, now: Micros, id: JobId, facade: &mut Facade) -> Option<bool> {
+    /// Cancels a job unless it may have been sent to a worker.
+    pub fn cancel(
+        &mut self,
+        now: Micros,
+        id: JobId,
+        facade: &mut Facade,
+    ) -> Provisional<Cancellation> {
         self.now = now;
-        let job = self.jobs.get(&id)?;
-        if job.is_finished() || job.may_have_run() {
-            return Some(false);
+        let Some(job) = self.jobs.get(&id) else {
+            return Provisional::immediate(Cancellation::UnknownJob);
+        };
+        if !job.is_finished() {
+            if job.may_have_been_sent() {
+                return Provisional::after(job.status_record, Cancellation::TooLate);
+            }
+            self.finish(id, Answer::Cancelled, facade);
+            self.advance_woken_jobs(now, facade);
+        }
+        match self.jobs.get(&id).map(|job| &job.stage) {
+            Some(Stage::Finished(Answer::Cancelled, number)) => {
+                Provisional::after(*number, Cancellation::Cancelled)
+            }
+            Some(Stage::Finished(_, number)) => Provisional::after(*number, Cancellation::TooLate),
+            _ => Provisional::immediate(Cancellation::UnknownJob),
         }
-        self.finish(id, Answer::Cancelled, facade);
-        self.advance_woken_jobs(now, facade);
-        Some(true)
     }
 
-    /// Returns the status of a job, or `None` if the job is unknown.
+    /// Returns the status of a job, or `None` if the job is unknown. Of an answer that is not durable yet it shows
+    /// nothing; the status itself waits for the job's acceptance or its last settlement.
     #[must_use]
-    pub fn status(&self, id: JobId) -> Option<JobStatus> {
+    pub fn status(&self, id: JobId) -> Option<Provisional<JobStatus>> {
         let job = self.jobs.get(&id)?;
         let answer = match &job.stage {
             Stage::Finished(answer, number) if *number <= self.last_synced => Some(answer.clone()),
             _ => None,
         };
-        let indeterminate = if job.is_finished() {
+        let indeterminate = if answer.is_some() {
             job.indeterminate_leases()
         } else {
             Vec::new()
         };
-        Some(JobStatus {
+        // The token of an attempt is the number of its lease's record.
+        let is_leased = |attempt: &&Attempt| attempt.lease.token <= self.last_synced;
+        let status = JobStatus {
             answer,
-            attempts: job.attempts.len(),
+            attempts: job.attempts.iter().filter(is_leased).count(),
             indeterminate,
             outcome: job.outcome,
-        })
+        };
+        Some(Provisional::after(job.status_record, status))
     }
 
     /// Returns the jobs that are not finished.
@@ -140,13 +172,16 @@
         self.indeterminate.values().copied().collect()
     }
 
-    /// Settles a job with the outcome that an operator gives. Returns false if the job does not await
+    /// Settles a job with the outcome that an operator gives. The reply is false if the job does not await
     /// settlement.
-    pub fn settle(&mut self, now: Micros, id: JobId, outcome: Outcome) -> bool {
+    pub fn settle(&mut self, now: Micros, id: JobId, outcome: Outcome) -> Provisional<bool> {
         self.now = now;
-        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.awaits_settlement()) else {
-            return false;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return Provisional::immediate(false);
         };
+        if !job.awaits_settlement() {
+            return Provisional::after(job.record_number, false);
+        }
         let state = settled_state(outcome);
         for attempt in &mut job.attempts {
             if matches!(
@@ -156,8 +191,8 @@
                 attempt.state = state;
             }
         }
-        self.record_outcome(id, outcome);
-        true
+        let record = self.record_outcome(id, outcome);
+        Provisional::after(record, true)
     }
 }
 
--- a/crates/jobs/src/machine/ends.rs
+++ b/crates/jobs/src/machine/ends.rs
@@ -237,15 +237,16 @@
         self.record_outcome(id, outcome);
     }
 
-    /// Writes the outcome of a finished job's indeterminate attempts.
-    pub(super) fn record_outcome(&mut self, id: JobId, outcome: Outcome) {
+    /// Writes the outcome of a finished job's indeterminate attempts. Returns the number of the last record, for
+    /// which replies about the job wait.
+    pub(super) fn record_outcome(&mut self, id: JobId, outcome: Outcome) -> u64 {
         self.counts.settled += 1;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        job.outcome = Some(outcome);
-        if let Stage::Finished(answer, _) = job.stage.clone() {
-            self.retain_finished(id, answer);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.outcome = Some(outcome);
+            if let Stage::Finished(answer, _) = job.stage.clone() {
+                self.retain_finished(id, answer);
+            }
         }
+        self.await_last_record(id)
     }
 }
--- a/crates/jobs/src/machine/job.rs
+++ b/crates/jobs/src/machine/job.rs
@@ -135,6 +135,9 @@
     pub(super) outcome: Option<Outcome>,
     /// Number of the oldest record that the job still needs.
     pub(super) record_number: u64,
+    /// Number of the record that must be durable before others get to know of the job's state: of its acceptance, or
+    /// of its last settlement.
+    pub(super) status_record: u64,
     /// Time at which that record was written.
     pub(super) written_at: Micros,
     /// Time at which the job is processed next; `Micros::MAX` if no time is set.
@@ -168,6 +171,15 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 
+    /// Returns whether an attempt may have been sent to a worker, by this process or an earlier one.
+    pub(super) fn may_have_been_sent(&self) -> bool {
+        let is_unsent = |attempt: &Attempt| {
+            let awaits_lease = attempt.state == AttemptState::InFlight && !attempt.dispatched;
+            awaits_lease || !attempt.may_have_run()
+        };
+        !self.attempts.iter().all(is_unsent)
+    }
+
     /// Returns the job's handle at the facade while it is scheduled.
     pub(super) fn request(&self) -> Option<Handle> {
         if let Stage::Scheduled(request) = self.stage {
@@ -226,6 +238,7 @@
             attempts: Vec::new(),
             outcome: None,
             record_number,
+            status_record: record_number,
             written_at,
             due: Micros::MAX,
             bytes,
--- a/crates/jobs/src/machine/mod.rs
+++ b/crates/jobs/src/machine/mod.rs
@@ -35,14 +35,16 @@
 mod ends;
 mod job;
 mod network;
+mod reply;
 mod restore;
 mod store;
 mod types;
 
 use job::Job;
+pub use reply::Provisional;
 pub use types::{
-    AttemptEnd, Boot, Counts, Effect, FenceReply, FenceStatus, JobStatus, Limits, Names, Sizes,
-    Submitted,
+    AttemptEnd, Boot, Cancellation, Counts, Effect, FenceReply, FenceStatus, JobStatus, Limits,
+    Names, Sizes, Submitted,
 };
 
 /// Maximum number of finished jobs removed by one call of [`Jobs::tick`], which bounds its duration.
--- a/crates/jobs/src/machine/network.rs
+++ b/crates/jobs/src/machine/network.rs
@@ -251,7 +251,11 @@
         // A rejection is not a final outcome of the job, and the result replaces it.
         let stage = self.jobs.get(&id).map(|job| &job.stage);
         if matches!(stage, Some(Stage::Finished(Answer::Rejected(_), _))) {
-            self.retain_finished(id, Answer::Served(result));
+            let answer = Answer::Served(result);
+            self.retain_finished(id, answer.clone());
+            self.await_last_record(id);
+            // Status queries that came since then wait for the answer.
+            self.after_sync(Pending::Effect(Effect::Answer(id, answer)));
         }
         self.after_sync(Pending::Effect(Effect::NotifyResultStored {
             id,
--- a/crates/jobs/src/machine/store.rs
+++ b/crates/jobs/src/machine/store.rs
@@ -64,14 +64,6 @@
         self.unsynced_bytes + size <= MAX_UNSYNCED_BYTES.min(self.limits.max_bytes)
     }
 
-    /// Returns whether a job is known and its newest full record is durable.
-    #[must_use]
-    pub fn is_durable(&self, id: JobId) -> bool {
-        self.jobs
-            .get(&id)
-            .is_some_and(|job| job.record_number <= self.last_synced)
-    }
-
     /// Converts a time from the caller's clock to logical time.
     pub(super) fn logical(&self, at: Micros) -> Micros {
         at.wrapping_add_signed(self.logical_offset)
--- a/crates/jobs/src/machine/types.rs
+++ b/crates/jobs/src/machine/types.rs
@@ -4,6 +4,7 @@
 
 use oakshed_core::facade::{Ending, Micros};
 
+use super::Provisional;
 use crate::record::{Answer, JobId, JobPayload, Lease, Outcome};
 
 /// Settings and capacity limits of the state machine. Times are in microseconds.
@@ -35,21 +36,31 @@
 /// The outcome of a submission.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Submitted {
-    /// The job is open, from this submission or an earlier one. The answer follows as [`Effect::Answer`].
-    Open,
+    /// The job is open, from this submission or an earlier one. The reply is that it is accepted; the answer follows
+    /// as [`Effect::Answer`].
+    Open(Provisional<()>),
     /// The job is finished, with this answer.
-    Finished(Answer),
+    Finished(Provisional<Answer>),
     /// The key belongs to a job with a different payload.
-    Conflict,
+    Conflict(Provisional<()>),
     /// A capacity limit is reached, the disk is full, or too many bytes of records are not durable yet.
     Busy,
 }
 
+/// The outcome of a client's request to cancel a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancellation {
+    /// The job is cancelled, by this request or an earlier one, and never ran.
+    Cancelled,
+    /// The job may have been sent to a worker, or has another answer.
+    TooLate,
+    /// The job is unknown.
+    UnknownJob,
+}
+
 /// An action for the caller to perform. It is returned only once the records that it depends on are durable.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// The job's acceptance is durable.
-    Accepted(JobId),
     /// Send an attempt to a worker, and report its end with `on_ended`.
     Attempt {
         /// The job.
@@ -135,7 +146,7 @@
 pub struct JobStatus {
     /// The final answer, once it is durable.
     pub answer: Option<Answer>,
-    /// Number of the attempts that are still recorded.
+    /// Number of the attempts that are still recorded, not counting those whose lease is not durable yet.
     pub attempts: usize,
     /// Leases of a finished job's indeterminate attempts.
     pub indeterminate: Vec<Lease>,
--- a/crates/jobs/tests/unsynced_limit.rs
+++ b/crates/jobs/tests/unsynced_limit.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use oakshed_core::facade::Facade;
-use oakshed_jobs::machine::{Effect, Jobs, Limits, Submitted};
+use oakshed_jobs::machine::{Jobs, Limits, Provisional, Submitted};
 use oakshed_jobs::record::{JobId, JobPayload, Key};
 
 use common::{restore_jobs, NOW, S};
@@ -43,14 +43,15 @@
 #[test]
 fn jobs_beyond_the_limit_are_rejected_until_earlier_ones_are_durable() {
     let (mut jobs, mut facade) = restore_jobs(limits(), Vec::new(), 1);
-    let mut accepted_count = 0;
-    while submit(&mut jobs, &mut facade, accepted_count) == Submitted::Open {
-        accepted_count += 1;
+    let mut accepted: Vec<Provisional<()>> = Vec::new();
+    while let Submitted::Open(reply) = submit(&mut jobs, &mut facade, accepted.len() as u32) {
+        accepted.push(reply);
         assert!(
-            accepted_count < 1_000,
+            accepted.len() < 1_000,
             "the number of jobs that are not durable is not limited"
         );
     }
+    let accepted_count = accepted.len() as u32;
     assert!(
         accepted_count as usize * BODY_LENGTH > 4 << 20,
         "only {accepted_count} jobs were accepted; the limit is too low for a disk that is slow but works"
@@ -60,15 +61,14 @@
         Submitted::Busy
     );
     // A resubmission of an accepted job is not rejected. No effect is returned before the sync.
-    assert_eq!(submit(&mut jobs, &mut facade, 0), Submitted::Open);
+    let again = submit(&mut jobs, &mut facade, 0);
+    assert!(matches!(again, Submitted::Open(_)), "{again:?}");
     assert_eq!(jobs.effect(), None);
+    let is_confirmed = |jobs: &Jobs, reply: &Provisional<()>| jobs.confirm(reply.clone()).is_ok();
+    assert!(!accepted.iter().any(|reply| is_confirmed(&jobs, reply)));
     let (first, records) = jobs.records();
     jobs.on_synced(NOW, first + records.len() as u64 - 1, &mut facade);
-    let accepted =
-        std::iter::from_fn(|| jobs.effect()).filter(|e| matches!(e, Effect::Accepted(_)));
-    assert_eq!(accepted.count(), accepted_count as usize);
-    assert_eq!(
-        submit(&mut jobs, &mut facade, accepted_count),
-        Submitted::Open
-    );
+    assert!(accepted.iter().all(|reply| is_confirmed(&jobs, reply)));
+    let next = submit(&mut jobs, &mut facade, accepted_count);
+    assert!(matches!(next, Submitted::Open(_)), "{next:?}");
 }
--- a/crates/jobs/tests/world/clients.rs
+++ b/crates/jobs/tests/world/clients.rs
@@ -3,11 +3,16 @@
 //! They call only the functions of the state machine that serve requests of real clients.
 
 use oakshed_core::facade::Micros;
-use oakshed_jobs::machine::Submitted;
 use oakshed_jobs::record::{Answer, JobId, JobPayload};
 
+use super::replies::{PendingReply, Waiting};
 use super::{Event, World, MS, S};
 
+/// Probability that a client cancels the job that it submits, in thousandths.
+const CANCEL_PER_MILLE: u32 = 80;
+/// Time within which it does so; a job that a worker can take is sent within that time.
+const CANCEL_WITHIN: Micros = 10 * MS;
+
 /// A client of one job.
 #[derive(Clone)]
 pub(super) struct Client {
@@ -54,7 +59,7 @@
             return self.schedule(retry_delay, Event::ClientRequest(n));
         }
         if self.clients[n].detached && self.clients[n].polls_answer {
-            return self.poll_answer(n, retry_delay);
+            return self.poll_answer(n);
         }
         self.clients[n].tries += 1;
         // While the disk is full no job is accepted, so the scheduler must check for space without a write.
@@ -63,21 +68,24 @@
             self.handle(Event::KillScheduler { reboot: false });
             return self.schedule(retry_delay, Event::ClientRequest(n));
         }
-        if self.chance(30) {
-            let cancelled = self
-                .with_scheduler(|scheduler, now| {
-                    scheduler.jobs.cancel(now, id, &mut scheduler.facade)
-                })
-                .flatten();
-            if cancelled == Some(true) {
-                self.coverage.count("cancelled");
-            }
+        if self.chance(CANCEL_PER_MILLE) {
+            let after = self.rng.u64(0..CANCEL_WITHIN);
+            self.schedule(after, Event::Cancel(id));
+        }
+        self.submit(n);
+    }
+
+    /// Lets a client cancel a job.
+    pub(super) fn cancel(&mut self, id: JobId) {
+        let cancellation = self
+            .with_scheduler(|scheduler, now| scheduler.jobs.cancel(now, id, &mut scheduler.facade));
+        if let Some(cancellation) = cancellation {
+            self.await_confirmation(PendingReply::Cancellation(id, cancellation));
         }
-        self.submit(n, retry_delay);
     }
 
     /// Polls for the answer of a job that was accepted.
-    fn poll_answer(&mut self, n: usize, retry_delay: Micros) {
+    fn poll_answer(&mut self, n: usize) {
         let id = self.clients[n].id;
         let status = self
             .with_scheduler(|scheduler, _| scheduler.jobs.status(id))
@@ -86,14 +94,24 @@
         let Some(status) = status else {
             return self.report_violation(format!("{id}: unknown after it was accepted"));
         };
-        match status.answer {
-            Some(answer) => self.on_answer(n, answer),
-            None => self.schedule(retry_delay, Event::ClientRequest(n)),
-        }
+        let waiting = Waiting {
+            client: n,
+            tries: self.clients[n].tries,
+        };
+        let wait = 2 * S;
+        self.clients[n].waits_until = self.now + wait;
+        self.schedule(wait, Event::ClientTimeout(n, waiting.tries));
+        self.await_confirmation(PendingReply::Status(waiting, status));
+    }
+
+    /// Lets a client send its next request after a delay.
+    pub(super) fn retry_later(&mut self, n: usize) {
+        let delay = self.rng.u64(20 * MS..S);
+        self.schedule(delay, Event::ClientRequest(n));
     }
 
     /// Submits a client's job, and schedules the end of the client's wait.
-    fn submit(&mut self, n: usize, retry_delay: Micros) {
+    fn submit(&mut self, n: usize) {
         let id = self.clients[n].id;
         let detached = self.clients[n].detached;
         let payload = self.payload(n);
@@ -110,19 +128,8 @@
                 .submit(now, id, payload, wait, detached, facade)
         });
         match submitted {
-            Some(Submitted::Open) => {
-                if let Some(scheduler) = &mut self.scheduler {
-                    scheduler.waiting.entry(id).or_default().push(n);
-                }
-            }
-            Some(Submitted::Finished(answer)) => {
-                self.coverage.count("finished job resubmitted");
-                self.on_answer(n, answer);
-            }
-            Some(Submitted::Conflict) => {
-                self.report_violation(format!("{id}: a resubmission conflicts with the job"));
-            }
-            _ => self.schedule(retry_delay, Event::ClientRequest(n)),
+            Some(submitted) => self.on_submitted(n, submitted),
+            None => self.retry_later(n),
         }
     }
 
@@ -133,32 +140,17 @@
         self.schedule(delay, Event::ClientRequest(n));
     }
 
-    /// Notifies all clients that wait for a job of its answer, or of its acceptance if there is no answer yet.
-    pub(super) fn notify_waiting_clients(&mut self, id: JobId, answer: Option<Answer>) {
+    /// Gives all clients that wait for a job its answer.
+    pub(super) fn notify_waiting_clients(&mut self, id: JobId, answer: &Answer) {
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
         let waiting = scheduler.waiting.remove(&id).unwrap_or_default();
-        if let Some(Answer::Rejected(_) | Answer::Cancelled) = &answer {
+        if let Answer::Rejected(_) | Answer::Cancelled = answer {
             self.truth.entry(id).or_default().reported_never_run = true;
         }
         for n in waiting {
-            match &answer {
-                Some(answer) => self.on_answer(n, answer.clone()),
-                None if self.clients[n].detached => {
-                    self.clients[n].polls_answer = true;
-                    let retry_delay = self.rng.u64(20 * MS..S);
-                    self.schedule(retry_delay, Event::ClientRequest(n));
-                }
-                None => self
-                    .scheduler
-                    .as_mut()
-                    .expect("the scheduler is running")
-                    .waiting
-                    .entry(id)
-                    .or_default()
-                    .push(n),
-            }
+            self.on_answer(n, answer.clone());
         }
     }
 }
--- a/crates/jobs/tests/world/coverage.rs
+++ b/crates/jobs/tests/world/coverage.rs
@@ -7,13 +7,15 @@
 pub struct Coverage(BTreeMap<&'static str, u64>);
 
 /// The kinds of events that a long run of the simulation must cover.
-const REQUIRED: [&str; 24] = [
+const REQUIRED: [&str; 26] = [
     "served",
     "failed",
     "rejected",
     "cancelled",
     "finished job resubmitted",
     "process killed",
+    "kill between a reply and its sync",
+    "settled by an operator",
     "machine rebooted",
     "torn tail",
     "clock stepped",
--- a/crates/jobs/tests/world/effects.rs
+++ b/crates/jobs/tests/world/effects.rs
@@ -13,8 +13,7 @@
     pub(super) fn perform(&mut self, effect: Effect) {
         self.trace(|| format!("  {effect:?}"));
         match effect {
-            Effect::Accepted(id) => self.notify_waiting_clients(id, None),
-            Effect::Answer(id, answer) => self.notify_waiting_clients(id, Some(answer)),
+            Effect::Answer(id, answer) => self.notify_waiting_clients(id, &answer),
             Effect::Trim(oldest_needed) => self.trim(oldest_needed),
             Effect::Attempt {
                 id,
--- a/crates/jobs/tests/world/invariants.rs
+++ b/crates/jobs/tests/world/invariants.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 use oakshed_core::facade::Micros;
-use oakshed_jobs::record::{Answer, JobId, UNCONFIRMED_START};
+use oakshed_jobs::record::{Answer, JobId, Outcome, UNCONFIRMED_START};
 
 use super::workers::result_of;
 use super::{World, MS, S};
@@ -20,6 +20,10 @@
     pub(super) answer: Option<Answer>,
     /// Whether clients were told that it never ran, and none has submitted it since.
     pub(super) reported_never_run: bool,
+    /// Whether a client's cancellation was confirmed.
+    pub(super) withdrawn: bool,
+    /// The outcome of the indeterminate attempts that a client or an operator was given last.
+    pub(super) outcome: Option<Outcome>,
     /// Earliest send time of an attempt that ran.
     pub(super) first_executed_send: Option<Micros>,
     /// Send time of each attempt, by its token.
@@ -45,6 +49,9 @@
             Answer::Rejected(_) => return self.on_rejection(n),
         }
         let truth = self.truth.entry(id).or_default();
+        if truth.withdrawn && answer != Answer::Cancelled {
+            return self.report_violation(format!("{id}: withdrawn, then {answer:?}"));
+        }
         match &truth.answer {
             Some(first) if *first != answer => {
                 let violation = format!("{id}: first {first:?}, then {answer:?}");
@@ -124,6 +131,7 @@
         // An attempt sent with a cached list may have reached a different worker, so no reply is conclusive.
         let can_be_settled = |id: &JobId| {
             let status = scheduler.jobs.status(*id);
+            let status = status.and_then(|status| scheduler.jobs.confirm(status).ok());
             let mut leases = status.into_iter().flat_map(|status| status.indeterminate);
             leases.any(|lease| lease.start_ms != UNCONFIRMED_START)
         };
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -4,7 +4,7 @@
 //! completely.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
 use fastrand::Rng;
 use oakshed_core::facade::{ListKind, Micros};
@@ -17,6 +17,7 @@
 mod effects;
 mod faults;
 mod invariants;
+mod replies;
 mod scheduler;
 mod workers;
 
@@ -61,6 +62,8 @@
     ClientRequest(usize),
     /// A client's wait for an answer times out, unless it has made another try since the given one.
     ClientTimeout(usize, u32),
+    /// A client cancels a job.
+    Cancel(JobId),
     /// A sync by the given scheduler process ends.
     SyncEnds(u64),
     /// A timer of the given scheduler process expires.
@@ -96,9 +99,13 @@
     KillScheduler {
         reboot: bool,
     },
+    /// The given scheduler process is killed if a reply waits for a sync.
+    KillBeforeSync(u64),
     StartScheduler,
     OutageEnds,
     RestartWorker(usize),
+    /// An operator settles a job.
+    Settle,
     /// The scheduler receives the current endpoint list.
     ListArrives,
     InjectFault,
@@ -143,6 +150,8 @@
     connections: Vec<Connection>,
     clients: Vec<Client>,
     truth: HashMap<JobId, GroundTruth>,
+    /// The jobs that an operator has settled, until a scheduler process confirms the settlement.
+    settlements: BTreeSet<JobId>,
     setup: Setup,
     faults_stopped: bool,
     faults_stop_at: Micros,
@@ -159,6 +168,10 @@
         let mut world = World::new(seed, verbose);
         world.schedule(0, Event::StartScheduler);
         world.add_clients();
+        for _ in 0..world.rng.usize(0..3) {
+            let at = world.rng.u64(0..12 * S);
+            world.schedule(at, Event::Settle);
+        }
         for _ in 0..world.rng.usize(1..8) {
             let at = world.rng.u64(0..8 * S);
             world.schedule(at, Event::InjectFault);
@@ -193,6 +206,7 @@
             connections: Vec::new(),
             clients: Vec::new(),
             truth: HashMap::new(),
+            settlements: BTreeSet::new(),
             setup,
             faults_stopped: false,
             faults_stop_at: EPOCH + rng.u64(3..9) * S,
@@ -296,6 +310,7 @@
                     self.run_client(n);
                 }
             }
+            Event::Cancel(id) => self.cancel(id),
             Event::Tick(process) => self.on_tick(process),
             Event::SyncEnds(process) => self.end_sync(process),
             Event::RequestArrives { attempt, class } => self.on_request(attempt, class),
@@ -312,6 +327,8 @@
             } => self.on_fence(fence, worker, worker_process),
             Event::FenceReplyArrives { fence, reply } => self.on_fence_reply(fence, reply),
             Event::KillScheduler { reboot } => self.kill_scheduler(reboot),
+            Event::KillBeforeSync(process) => self.kill_before_sync(process),
+            Event::Settle => self.settle_job(),
             Event::StartScheduler => self.start_scheduler(),
             Event::OutageEnds => _ = self.disk.set_outage(None),
             Event::RestartWorker(worker) => self.restart_worker(worker),
--- a/crates/jobs/tests/world/scheduler.rs
+++ b/crates/jobs/tests/world/scheduler.rs
@@ -13,6 +13,7 @@
 use oakshed_jobs::machine::{Boot, Jobs, Limits, Names};
 use oakshed_jobs::record::JobId;
 
+use super::replies::PendingReply;
 use super::{Event, World, EPOCH, HOUR, KEYED_WINDOW, MS, S};
 
 /// Size of a segment file in bytes.
@@ -29,8 +30,10 @@
     pub(super) clock_offset: i64,
     /// The records of the sync that is in progress.
     pub(super) syncing: Option<Backlog>,
-    /// The clients that wait for each job.
+    /// The clients that wait for the answer of each job.
     pub(super) waiting: HashMap<JobId, Vec<usize>>,
+    /// The replies that wait for a sync.
+    pub(super) pending_replies: Vec<PendingReply>,
     /// The open connection of each attempt, by job and token.
     pub(super) connections: HashMap<(JobId, u64), u64>,
     /// Simulated time of the next scheduled tick, or the maximum if there is none.
@@ -118,6 +121,7 @@
         };
         self.schedule(wait, Event::ListArrives);
         self.schedule(0, Event::Tick(self.processes));
+        self.apply_settlements();
     }
 
     /// Opens the log. After an I/O error the start is scheduled again.
@@ -161,6 +165,7 @@
             clock_offset,
             syncing: None,
             waiting: HashMap::new(),
+            pending_replies: Vec::new(),
             connections: HashMap::new(),
             tick_at: Micros::MAX,
             stale_addresses: HashMap::new(),
@@ -304,10 +309,13 @@
         if durable > before {
             let facade = &mut scheduler.facade;
             scheduler.jobs.on_synced(now, durable - 1, facade);
+            self.deliver_replies();
         }
         if result.is_err() {
             self.coverage.count("sync failed");
-            scheduler.syncing = Some(backlog);
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.syncing = Some(backlog);
+            }
             if self.disk.has_stopped() {
                 return self.handle(Event::KillScheduler { reboot: false });
             }
--- a/crates/jobs/tests/world/workers.rs
+++ b/crates/jobs/tests/world/workers.rs
@@ -195,6 +195,9 @@
         if class == 0 && truth.starts > 1 {
             return Some(format!("{id}: a transfer ran twice"));
         }
+        if truth.withdrawn {
+            return Some(format!("{id}: ran after its withdrawal was confirmed"));
+        }
         if class == 0 && truth.reported_never_run {
             return Some(format!(
                 "{id}: a transfer ran after its clients were told that it never ran"
--- a/crates/server/src/jobs_cli.rs
+++ b/crates/server/src/jobs_cli.rs
@@ -164,7 +164,7 @@
             attempts,
             indeterminate,
             ..
-        }) = jobs.status(id)
+        }) = jobs.status(id).and_then(|status| jobs.confirm(status).ok())
         else {
             continue;
         };
@@ -206,9 +206,11 @@
     let (mut log, recovered) = Log::open(disk, 1 << 20).map_err(store_error(dir))?;
     let next = log.next_record();
     let mut jobs = restore(recovered, next);
-    if !jobs.settle(now(), id, outcome) {
+    if !jobs.indeterminate().contains(&id) {
         return Err(JobsCommandError::NotInDoubt(id));
     }
+    // Confirmed by the append below.
+    _ = jobs.settle(now(), id, outcome);
     let (first, records) = jobs.records();
     let (frames, lengths) = encode_all(first, first - 1, &records);
     log.append(&frames, &lengths).map_err(store_error(dir))?;
--- a/crates/server/src/net/durable/clients.rs
+++ b/crates/server/src/net/durable/clients.rs
@@ -10,8 +10,8 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
-use oakshed_core::facade::{Job, Micros, Settings};
-use oakshed_jobs::machine::Submitted;
+use oakshed_core::facade::{Job, Settings};
+use oakshed_jobs::machine::{Cancellation, JobStatus, Provisional, Submitted};
 use oakshed_jobs::record::{Answer, JobId, JobPayload, Key, Outcome};
 use oakshed_wire::Names;
 use tokio::time::{timeout_at, Instant};
@@ -19,10 +19,9 @@
 use super::super::answers::{not_allowed, plain_text, rejection, IDEMPOTENCY_KEY, REQ_OWNER};
 use super::super::forwarded_request::ForwardedRequest;
 use super::super::Net;
-use super::{DurableJobs, JobUpdate};
+use super::wait::{within, WaitLimits};
+use super::DurableJobs;
 
-/// How long after the deadline a response waits for the answer to become durable, in microseconds.
-const SYNC_GRACE: Micros = 1_000_000;
 /// The longest that a status query waits, in seconds.
 const MAX_WAIT_S: u64 = 60;
 
@@ -103,15 +102,41 @@
         let mut jobs = durable.jobs.borrow_mut();
         jobs.submit(now, id, payload, remaining, options.detached, facade)
     };
-    if let Some(response) = immediate_response(net, submitted) {
-        return response;
-    }
-    if options.detached && durable.jobs.borrow().is_durable(id) {
-        return accepted_response(id);
-    }
-    durable.process_output(net);
     let limits = WaitLimits::new(net, now, forwarded.deadline);
-    await_answer(net, durable, id, options.detached, limits).await
+    respond_to_submission(net, durable, id, options.detached, limits, submitted).await
+}
+
+/// Returns the response to a submission, once the record behind it is durable.
+async fn respond_to_submission(
+    net: &Rc<Net>,
+    durable: &DurableJobs,
+    id: JobId,
+    detached: bool,
+    limits: WaitLimits,
+    submitted: Submitted,
+) -> Response<Full<Bytes>> {
+    let settings = &net.config.settings;
+    match submitted {
+        Submitted::Open(accepted) if detached => {
+            durable.process_output(net);
+            let respond = |()| accepted_response(id);
+            confirmed_response(net, durable, id, limits, accepted, respond).await
+        }
+        Submitted::Open(_) => {
+            durable.process_output(net);
+            await_answer(net, durable, id, limits).await
+        }
+        Submitted::Finished(answer) => {
+            let respond = |answer| answer_response(settings, answer);
+            confirmed_response(net, durable, id, limits, answer, respond).await
+        }
+        Submitted::Conflict(conflict) => {
+            net.counters.clients.bad_requests.increment();
+            let respond = |()| conflict_response();
+            confirmed_response(net, durable, id, limits, conflict, respond).await
+        }
+        Submitted::Busy => busy_response(settings),
+    }
 }
 
 /// Returns the part of a client's job that is recorded.
@@ -134,21 +159,12 @@
     }
 }
 
-/// Returns the response to a submission of a finished or rejected job, or `None` if the job is open.
-fn immediate_response(net: &Net, submitted: Submitted) -> Option<Response<Full<Bytes>>> {
-    let settings = &net.config.settings;
-    match submitted {
-        Submitted::Finished(answer) => Some(answer_response(settings, answer)),
-        Submitted::Conflict => {
-            net.counters.clients.bad_requests.increment();
-            Some(plain_text(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                "this key belongs to another payload\n",
-            ))
-        }
-        Submitted::Busy => Some(busy_response(settings)),
-        Submitted::Open => None,
-    }
+/// Returns the response to a submission whose key belongs to a job with a different payload.
+fn conflict_response() -> Response<Full<Bytes>> {
+    plain_text(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "this key belongs to another payload\n",
+    )
 }
 
 /// Returns the rejection while no further jobs are accepted. Unlike other rejections it always has a `Retry-After`.
@@ -163,67 +179,31 @@
     response
 }
 
-/// How long the response to a submission waits.
-struct WaitLimits {
-    /// The deadline of the job.
-    deadline: Instant,
-    /// The end of the additional wait for an answer that is being written to disk.
-    sync_deadline: Instant,
-}
-
-impl WaitLimits {
-    fn new(net: &Net, arrived: Micros, deadline: Micros) -> WaitLimits {
-        let instant = |at| net.clock.instant(net.shutdown.limit_deadline(arrived, at));
-        WaitLimits {
-            deadline: instant(deadline),
-            sync_deadline: instant(deadline.saturating_add(SYNC_GRACE)),
-        }
-    }
-
-    /// Shortens the limits to the time that a shutdown leaves this process.
-    fn limit_to_shutdown(&mut self, net: &Net) {
-        if let Some(last_answer) = net.shutdown.last_answer_at() {
-            self.sync_deadline = self.sync_deadline.min(last_answer);
-        }
-        self.deadline = self.deadline.min(self.sync_deadline);
-    }
+/// Waits for the record behind a reply, and returns the response with it.
+async fn confirmed_response<T>(
+    net: &Net,
+    durable: &DurableJobs,
+    id: JobId,
+    limits: WaitLimits,
+    provisional: Provisional<T>,
+    respond: impl FnOnce(T) -> Response<Full<Bytes>>,
+) -> Response<Full<Bytes>> {
+    let reply = within(net, durable, limits, durable.confirmed(provisional)).await;
+    reply.map_or_else(|| undecided_response(id), respond)
 }
 
-/// Waits until the job has its answer, is accepted if it is detached, or the limits are over; returns the response.
+/// Waits for a job's answer, and returns the response with it.
 async fn await_answer(
     net: &Net,
     durable: &DurableJobs,
     id: JobId,
-    detached: bool,
-    mut limits: WaitLimits,
+    limits: WaitLimits,
 ) -> Response<Full<Bytes>> {
-    let mut closing = net.shutdown.closing.subscribe();
-    let mut shutting_down = false;
-    loop {
-        let update = durable.wait_for(id, detached);
-        let outcome = tokio::select! {
-            biased;
-            outcome = timeout_at(limits.deadline, update) => outcome,
-            _ = closing.wait_for(|closing| *closing), if !shutting_down => {
-                shutting_down = true;
-                limits.limit_to_shutdown(net);
-                continue;
-            }
-        };
-        match outcome {
-            Ok(Ok(JobUpdate::Answer(answer))) => {
-                return answer_response(&net.config.settings, answer)
-            }
-            Ok(Ok(JobUpdate::Accepted)) if detached => return accepted_response(id),
-            Ok(_) => {}
-            // The deadline is over, but the answer may be on its way to the disk.
-            Err(_) if limits.deadline < limits.sync_deadline && !durable.outage.get() => {
-                limits.deadline = limits.sync_deadline;
-            }
-            // The answer is not durable in time, as the disk fails or the process ends. It is available later, perhaps
-            // only from the next process, so the response says nothing about the outcome.
-            Err(_) => return undecided_response(id),
-        }
+    match within(net, durable, limits, durable.answer_receiver(id)).await {
+        Some(Ok(answer)) => answer_response(&net.config.settings, answer),
+        // The answer is not durable in time, as the disk fails or the process ends. It is available later, perhaps only
+        // from the next process, so the response says nothing about the outcome.
+        Some(Err(_)) | None => undecided_response(id),
     }
 }
 
@@ -269,7 +249,7 @@
             let wait = JobOptions::read(&head.headers).wait.unwrap_or(0);
             await_status(net, durable, id, wait.min(MAX_WAIT_S)).await
         }
-        Method::DELETE => cancel(net, durable, id),
+        Method::DELETE => cancel(net, durable, id).await,
         _ => not_allowed("GET, HEAD, DELETE"),
     }
 }
@@ -278,7 +258,7 @@
     plain_text(StatusCode::NOT_FOUND, "no such job\n")
 }
 
-/// Returns a job's status once the job is finished or `wait` seconds have passed.
+/// Returns a job's status once the job is finished, `wait` seconds have passed, or the process closes its connections.
 async fn await_status(
     net: &Net,
     durable: &DurableJobs,
@@ -286,40 +266,59 @@
     wait: u64,
 ) -> Response<Full<Bytes>> {
     let now = net.clock.now();
-    let end = net.shutdown.limit_deadline(now, now + wait * 1_000_000);
-    let limit = net.clock.instant(end);
+    let end = net.clock.instant(now + wait * 1_000_000);
+    let mut closing = net.shutdown.closing.subscribe();
     loop {
-        let view = durable.jobs.borrow().status(id);
-        let Some(view) = view else {
+        let Some(status) = durable.jobs.borrow().status(id) else {
             return not_found();
         };
-        if view.answer.is_some() || Instant::now() >= limit {
-            return status_response(&net.config.settings, id, &view);
+        // Registered before the status is confirmed, so that an answer that becomes durable meanwhile is noticed.
+        let answer = durable.answer_receiver(id);
+        let limits = WaitLimits::for_sync(net);
+        let status = within(net, durable, limits, durable.confirmed(status)).await;
+        let Some(status) = status else {
+            return undecided_response(id);
+        };
+        if status.answer.is_some() || Instant::now() >= end || net.shutdown.is_closing() {
+            return status_response(&net.config.settings, id, &status);
+        }
+        tokio::select! {
+            biased;
+            _ = timeout_at(end, answer) => {}
+            _ = closing.wait_for(|closing| *closing) => {}
         }
-        _ = timeout_at(limit, durable.wait_for(id, false)).await;
     }
 }
 
 /// Cancels a job that has not been sent to a worker yet.
-fn cancel(net: &Rc<Net>, durable: &DurableJobs, id: JobId) -> Response<Full<Bytes>> {
-    let cancelled = {
+async fn cancel(net: &Rc<Net>, durable: &DurableJobs, id: JobId) -> Response<Full<Bytes>> {
+    let cancellation = {
         let facade = &mut net.facade.borrow_mut();
         let mut jobs = durable.jobs.borrow_mut();
         jobs.cancel(net.clock.now(), id, facade)
     };
     durable.process_output(net);
-    match cancelled {
-        None => not_found(),
-        Some(false) => plain_text(StatusCode::CONFLICT, "it was sent, or is over\n"),
-        Some(true) => plain_text(StatusCode::OK, "withdrawn\n"),
+    let limits = WaitLimits::for_sync(net);
+    confirmed_response(
+        net,
+        durable,
+        id,
+        limits,
+        cancellation,
+        cancellation_response,
+    )
+    .await
+}
+
+fn cancellation_response(cancellation: Cancellation) -> Response<Full<Bytes>> {
+    match cancellation {
+        Cancellation::Cancelled => plain_text(StatusCode::OK, "withdrawn\n"),
+        Cancellation::TooLate => plain_text(StatusCode::CONFLICT, "it was sent, or is over\n"),
+        Cancellation::UnknownJob => not_found(),
     }
 }
 
-fn status_response(
-    settings: &Settings,
-    id: JobId,
-    view: &oakshed_jobs::machine::JobStatus,
-) -> Response<Full<Bytes>> {
+fn status_response(settings: &Settings, id: JobId, view: &JobStatus) -> Response<Full<Bytes>> {
     let (state, result) = match &view.answer {
         None => ("open", None),
         Some(Answer::Served(result)) => {
--- a/crates/server/src/net/durable/mod.rs
+++ b/crates/server/src/net/durable/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! This file opens the store, appends the machine's records to it and performs the machine's effects. `run` drives the
 //! machine, `observer` reports attempts and endpoint lists to it, `fence` asks workers about leases, and `clients`
-//! serves the clients' requests. All decisions are the machine's; an effect is performed only after the machine has
+//! serves the clients' requests, which wait in `wait`. All decisions are the machine's; an effect is performed only after the machine has
 //! returned it. Nothing here depends on `front`.
 
 mod clients;
@@ -11,6 +11,7 @@
 mod observer;
 mod run;
 mod summary;
+mod wait;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -25,11 +26,11 @@
 use oakshed_jobs::disk::{self, Disk};
 use oakshed_jobs::group_commit::{GroupCommit, StoreEvent};
 use oakshed_jobs::log::{encode_all, Log, LogError, Recovered, TornTail};
-use oakshed_jobs::machine::{Effect, Jobs, Limits, Names};
+use oakshed_jobs::machine::{Effect, Jobs, Limits, Names, Provisional};
 use oakshed_jobs::record::{Answer, JobId, JobPayload};
 use oakshed_jobs::startup::open_within;
 use rustc_hash::FxHashMap;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::time::timeout;
 use tracing::{info, warn};
 
@@ -56,21 +57,6 @@
 /// The most safe results that are collected for one worker. It is not notified of further ones and drops them by age.
 const MAX_SAFE_RESULTS: usize = 10_000;
 
-/// A notification to those who wait for a job.
-#[derive(Clone)]
-enum JobUpdate {
-    Accepted,
-    Answer(Answer),
-}
-
-/// A client's request that waits for a job.
-struct Waiter {
-    sender: oneshot::Sender<JobUpdate>,
-    /// Whether it waits only until the job is durable. Other waiters are not woken then: the answer may become durable
-    /// in the same sync, and would be missed between two waits.
-    until_accepted: bool,
-}
-
 /// The durable jobs of this scheduler with their store, attempts and waiting clients.
 pub(crate) struct DurableJobs {
     jobs: RefCell<Jobs>,
@@ -79,13 +65,14 @@
     leases: bool,
     lease_ms: u64,
     max_payload: usize,
-    waiters: RefCell<FxHashMap<JobId, Vec<Waiter>>>,
+    /// The clients' requests that wait for the answer of each job.
+    waiters: RefCell<FxHashMap<JobId, Vec<oneshot::Sender<Answer>>>>,
     /// The attempts in progress, by job and fencing token.
     attempts: RefCell<FxHashMap<(JobId, u64), Attempt>>,
     safe_results: RefCell<SafeResults>,
     fences_in_progress: Cell<usize>,
-    /// The number of the last durable record.
-    last_synced: Cell<u64>,
+    /// The number of the last durable record. Its changes wake the requests whose replies wait for a record.
+    last_synced: watch::Sender<u64>,
     /// Wakes [`run()`] after the state machine has changed.
     changed: Notify,
     /// Whether the disk fails, so that no records become durable for now.
@@ -139,7 +126,7 @@
         attempts: RefCell::default(),
         safe_results: RefCell::default(),
         fences_in_progress: Cell::new(0),
-        last_synced: Cell::new(next - 1),
+        last_synced: watch::Sender::new(next - 1),
         changed: Notify::new(),
         outage: Cell::new(false),
         sync_totals: Cell::default(),
@@ -223,35 +210,22 @@
         if records.is_empty() {
             return;
         }
-        let (frames, lengths) = encode_all(first, self.last_synced.get(), &records);
+        let (frames, lengths) = encode_all(first, *self.last_synced.borrow(), &records);
         self.group_commit
             .append(frames, lengths, first + records.len() as u64 - 1);
     }
 
-    /// Notifies the waiters of a job. Those who wait for the answer stay registered when the job is only accepted.
-    fn notify(&self, id: JobId, update: &JobUpdate) {
-        let mut all_waiters = self.waiters.borrow_mut();
-        let Some(mut waiters) = all_waiters.remove(&id) else {
-            return;
-        };
-        if matches!(update, JobUpdate::Accepted) {
-            let (until_accepted, others) = waiters
-                .into_iter()
-                .partition(|waiter| waiter.until_accepted);
-            waiters = until_accepted;
-            if !Vec::is_empty(&others) {
-                all_waiters.insert(id, others);
-            }
-        }
-        for waiter in waiters {
-            _ = waiter.sender.send(update.clone());
+    /// Gives the answer of a job to the requests that wait for it.
+    fn send_answer(&self, id: JobId, answer: &Answer) {
+        let waiters = self.waiters.borrow_mut().remove(&id);
+        for waiter in waiters.into_iter().flatten() {
+            _ = waiter.send(answer.clone());
         }
     }
 
     fn perform(&self, net: &Rc<Net>, effect: Effect) {
         match effect {
-            Effect::Accepted(id) => self.notify(id, &JobUpdate::Accepted),
-            Effect::Answer(id, answer) => self.notify(id, &JobUpdate::Answer(answer)),
+            Effect::Answer(id, answer) => self.send_answer(id, &answer),
             Effect::Trim(low) => self.group_commit.trim(low),
             Effect::Stop { id, token } => {
                 let attempt = self.attempts.borrow_mut().remove(&(id, token));
@@ -368,18 +342,28 @@
         headers
     }
 
-    /// Returns a receiver of the job's answer or, with `until_accepted`, of its acceptance if that comes first.
-    fn wait_for(&self, id: JobId, until_accepted: bool) -> oneshot::Receiver<JobUpdate> {
-        let (tx, rx) = oneshot::channel();
+    /// Returns a receiver of the job's answer.
+    fn answer_receiver(&self, id: JobId) -> oneshot::Receiver<Answer> {
+        let (sender, receiver) = oneshot::channel();
         let mut all_waiters = self.waiters.borrow_mut();
-        let list = all_waiters.entry(id).or_default();
+        let waiters = all_waiters.entry(id).or_default();
         // Removes waiters whose clients have disconnected.
-        list.retain(|waiter| !waiter.sender.is_closed());
-        list.push(Waiter {
-            sender: tx,
-            until_accepted,
-        });
-        rx
+        waiters.retain(|waiter| !waiter.is_closed());
+        waiters.push(sender);
+        receiver
+    }
+
+    /// Waits until the record behind a reply is durable, and returns the reply.
+    async fn confirmed<T>(&self, mut provisional: Provisional<T>) -> T {
+        let mut syncs = self.last_synced.subscribe();
+        loop {
+            match self.jobs.borrow().confirm(provisional) {
+                Ok(reply) => return reply,
+                Err(unconfirmed) => provisional = unconfirmed,
+            }
+            // Cannot fail: the sender lives as long as `self`.
+            _ = syncs.changed().await;
+        }
     }
 }
 
--- a/crates/server/src/net/durable/run.rs
+++ b/crates/server/src/net/durable/run.rs
@@ -8,6 +8,7 @@
 
 use oakshed_jobs::disk::{self, Settlement};
 use oakshed_jobs::group_commit::StoreEvent;
+use oakshed_jobs::machine::Provisional;
 use tokio::time::Sleep;
 use tracing::{info, warn};
 
@@ -65,12 +66,12 @@
             took,
             records,
         } => {
-            durable.last_synced.set(number);
             let (syncs, synced_records, time) = durable.sync_totals.get();
             durable
                 .sync_totals
                 .set((syncs + 1, synced_records + records as u64, time + took));
             jobs.on_synced(now, number, &mut facade);
+            durable.last_synced.send_replace(number);
         }
         StoreEvent::Capacity(has_capacity) => {
             if durable.disk_full.replace(!has_capacity) == has_capacity {
@@ -100,29 +101,48 @@
     }
 }
 
+/// A settlement that was applied, and whether there was anything to settle.
+type AppliedSettlement = (Settlement, Provisional<bool>);
+
+/// Applies the settlements that operators have left. The file of each is removed, and the settlement logged, only once it
+/// is durable.
+fn apply_settlements(net: &Net, durable: &DurableJobs, unconfirmed: &mut Vec<AppliedSettlement>) {
+    let mut jobs = durable.jobs.borrow_mut();
+    for settlement in disk::settlements(&durable.dir) {
+        if unconfirmed.iter().any(|(known, _)| *known == settlement) {
+            continue;
+        }
+        let settled = jobs.settle(net.clock.now(), settlement.id, settlement.outcome);
+        unconfirmed.push((settlement, settled));
+    }
+    for (settlement, settled) in std::mem::take(unconfirmed) {
+        match jobs.confirm(settled) {
+            Ok(settled) => finish_settlement(&settlement, settled),
+            Err(settled) => unconfirmed.push((settlement, settled)),
+        }
+    }
+}
+
+/// Removes the file of a settlement that is durable or was not needed.
+fn finish_settlement(settlement: &Settlement, settled: bool) {
+    let Settlement { path, id, outcome } = settlement;
+    if settled {
+        info!(job = %id, ?outcome, "store: job {id} settled by an operator: {outcome:?}");
+    }
+    _ = std::fs::remove_file(path);
+}
+
 /// Periodically checks a full disk for free space, applies the settlements that operators have left in the store's
 /// directory, and notifies workers of the results that are safe.
 async fn maintain(net: Rc<Net>) {
     let Some(durable) = &net.durable else { return };
+    let mut unconfirmed_settlements = Vec::new();
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         if durable.disk_full.get() {
             durable.group_commit.check_capacity();
         }
-        for Settlement { path, id, outcome } in disk::settlements(&durable.dir) {
-            // The file is removed only by a later run, once the settlement is durable and nothing is left to settle.
-            if durable
-                .jobs
-                .borrow_mut()
-                .settle(net.clock.now(), id, outcome)
-            {
-                info!(job = %id, ?outcome, "store: job {id} settled by an operator: {outcome:?}");
-            } else if durable.jobs.borrow().is_durable(id)
-                || durable.jobs.borrow().status(id).is_none()
-            {
-                _ = std::fs::remove_file(path);
-            }
-        }
+        apply_settlements(&net, durable, &mut unconfirmed_settlements);
         let safe_results = std::mem::take(&mut *durable.safe_results.borrow_mut());
         for (worker, results) in safe_results {
             let net = net.clone();
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -44,6 +44,10 @@
         };
     }
     if net.durable.is_some() && head.uri.path().starts_with("/jobs/") {
+        if head.method == Method::DELETE {
+            // It waits for the disk: its connection is not idle meanwhile.
+            client.idle_since.set(None);
+        }
         return durable::serve_job_path(net, &head).await;
     }
     let class = class_of(&net.config.names, &head);
--- a/crates/server/tests/compatibility/store.rs
+++ b/crates/server/tests/compatibility/store.rs
@@ -134,7 +134,8 @@
         ("k-withdrawn", Some(Answer::Cancelled), 0, 0, None),
         ("k-waits", None, 0, 0, None),
     ] {
-        let view = jobs.status(job_id(key).parse().expect("an id")).expect(key);
+        let status = jobs.status(job_id(key).parse().expect("an id")).expect(key);
+        let view = jobs.confirm(status).expect("a status from the log");
         assert_eq!(view.answer, answer, "{key}");
         assert_eq!(view.attempts, attempts, "{key}");
         assert_eq!(view.indeterminate.len(), in_doubt, "{key}");
