Record whether an attempt of a durable job carried its lease's fields

A job in doubt was settled as `never` although it had run.

Cause: a lease in the log did not say whether its attempt had carried the lease's fields. The next process fenced it by its own setting, and believed the `never` of a worker that could not know the lease. `oakshed jobs export` after a run of the case shows the worker's own start in each lease, `unsent` for its token, then a lease with a new token: no memory was lost and no token used twice.

Change: an attempt without the fields is recorded with start time 2, to which no worker's memory reaches back, and is in doubt at the next start. Each process marks its part of the log by a record after `Opened` that older builds ignore; leases in other parts are read as unknown, so that `never` proves nothing about them. The log is trimmed only up to an `Opened`, so that the mark stays as long as a lease after it. The form of the records is unchanged. On a related path, `never` for one attempt is no outcome of a job of which another attempt is in doubt. The simulation switches leases from process to process and writes as older builds did. Its check that jobs in doubt at the last kill are known now runs 5 s after that kill too, and at the end for those that are still in doubt: with leases switched on by the restart, such a job is settled at once and rightly forgotten 30 s later.

--- a/crates/jobs/src/machine/attempts.rs
+++ b/crates/jobs/src/machine/attempts.rs
@@ -10,7 +10,7 @@
 
 use super::job::{Attempt, AttemptState, Job, Stage};
 use super::{Effect, Jobs, Pending};
-use crate::record::{Answer, JobId, Lease, Record, UNCONFIRMED_START};
+use crate::record::{Answer, JobId, Lease, Record, UNCONFIRMED_START, WITHOUT_FIELDS_START};
 
 impl Jobs {
     /// Sets the time at which a job is processed next: its next fence or its deadline.
@@ -131,11 +131,7 @@
         until: Micros,
         write_deadline: Micros,
     ) {
-        let start_ms = if self.list_is_confirmed {
-            self.worker_starts.get(&worker).copied().unwrap_or(0)
-        } else {
-            UNCONFIRMED_START
-        };
+        let start_ms = self.recorded_start(&worker);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -158,6 +154,18 @@
         self.after_sync(Pending::Dispatch(id, token));
     }
 
+    /// Returns the start time of a worker to be recorded in a lease, by which a later process judges what the worker
+    /// can prove about the attempt.
+    fn recorded_start(&self, worker: &str) -> u64 {
+        if !self.limits.leases {
+            return WITHOUT_FIELDS_START;
+        }
+        if !self.list_is_confirmed {
+            return UNCONFIRMED_START;
+        }
+        self.worker_starts.get(worker).copied().unwrap_or(0)
+    }
+
     /// Sends an attempt whose lease is durable, unless a deadline has passed in the meantime.
     pub(super) fn dispatch(&mut self, id: JobId, token: u64, facade: &mut Facade) {
         let now = self.now;
--- a/crates/jobs/src/machine/clients.rs
+++ b/crates/jobs/src/machine/clients.rs
@@ -191,7 +191,7 @@
                 attempt.state = state;
             }
         }
-        let record = self.record_outcome(id, outcome);
+        let record = self.record_outcome(id, Some(outcome));
         Provisional::after(record, true)
     }
 }
--- a/crates/jobs/src/machine/ends.rs
+++ b/crates/jobs/src/machine/ends.rs
@@ -228,21 +228,21 @@
         if let Some(attempt) = job.attempt_mut(token) {
             attempt.state = settled_state(outcome);
         }
-        // The job ran if any of its attempts ran.
-        let outcome = if job.outcome == Some(Outcome::Ran) {
-            Outcome::Ran
-        } else {
-            outcome
+        // The job ran if any of its attempts ran, and never ran only if that is known of each of them.
+        let outcome = match (job.outcome, outcome) {
+            (Some(Outcome::Ran), _) | (_, Outcome::Ran) => Some(Outcome::Ran),
+            (known, Outcome::Never) if job.has_indeterminate_attempts() => known,
+            (_, Outcome::Never) => Some(Outcome::Never),
         };
         self.record_outcome(id, outcome);
     }
 
-    /// Writes the outcome of a finished job's indeterminate attempts. Returns the number of the last record, for
+    /// Writes the outcome of a finished job's indeterminate attempts, as far as it is known. Returns the number of the last record, for
     /// which replies about the job wait.
-    pub(super) fn record_outcome(&mut self, id: JobId, outcome: Outcome) -> u64 {
+    pub(super) fn record_outcome(&mut self, id: JobId, outcome: Option<Outcome>) -> u64 {
         self.counts.settled += 1;
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.outcome = Some(outcome);
+            job.outcome = outcome;
             if let Stage::Finished(answer, _) = job.stage.clone() {
                 self.retain_finished(id, answer);
             }
--- a/crates/jobs/src/machine/job.rs
+++ b/crates/jobs/src/machine/job.rs
@@ -102,7 +102,11 @@
                 Some(self.lease_expires_at.max(self.fence_at))
             }
             AttemptState::Fencing => Some(self.fence_at),
-            AttemptState::Indeterminate if leases && job_is_finished => Some(self.fence_at),
+            AttemptState::Indeterminate
+                if leases && job_is_finished && self.lease.may_be_known_to_worker() =>
+            {
+                Some(self.fence_at)
+            }
             _ => None,
         }
     }
@@ -151,7 +155,7 @@
         matches!(self.stage, Stage::Finished(..))
     }
 
-    fn has_indeterminate_attempts(&self) -> bool {
+    pub(super) fn has_indeterminate_attempts(&self) -> bool {
         self.attempts.iter().any(|attempt| {
             matches!(
                 attempt.state,
--- a/crates/jobs/src/machine/mod.rs
+++ b/crates/jobs/src/machine/mod.rs
@@ -129,8 +129,8 @@
     /// Effects that the caller has not fetched yet.
     effects: VecDeque<Effect>,
     wake_queue: Arc<WakeQueue>,
-    /// Number of the newest [`Record::Opened`].
-    opened_record: u64,
+    /// Numbers of the records [`Record::Opened`] that the log still has, oldest first.
+    opened_records: VecDeque<u64>,
     /// The record number up to which the log was trimmed last; records before it are no longer needed.
     trimmed_to: u64,
     /// Whether a confirmed endpoint list, or a cached one that names workers, has arrived.
--- a/crates/jobs/src/machine/network.rs
+++ b/crates/jobs/src/machine/network.rs
@@ -9,7 +9,7 @@
 
 use super::job::{Attempt, AttemptState, Stage, INITIAL_FENCE_INTERVAL};
 use super::{AttemptEnd, Effect, FenceReply, FenceStatus, Jobs, Pending};
-use crate::record::{Answer, JobId, Lease, Outcome, UNCONFIRMED_START};
+use crate::record::{Answer, JobId, Lease, Outcome, UNCONFIRMED_START, WITHOUT_FIELDS_START};
 
 /// Maximum interval between two fences of an attempt: 60 s.
 const MAX_FENCE_INTERVAL: Micros = 60_000_000;
@@ -284,7 +284,7 @@
 fn history_covers(since_ms: u64, lease: &Lease) -> bool {
     match lease.start_ms {
         0 => since_ms.saturating_add(MIN_HISTORY_AGE_MS) <= lease.sent / 1_000,
-        UNCONFIRMED_START => false,
+        UNCONFIRMED_START | WITHOUT_FIELDS_START => false,
         start_ms => since_ms <= start_ms,
     }
 }
--- a/crates/jobs/src/machine/restore.rs
+++ b/crates/jobs/src/machine/restore.rs
@@ -12,7 +12,7 @@
 
 use super::job::{Attempt, AttemptState, Job, UNKNOWN_SEND_TIME};
 use super::{Boot, Counts, Finished, Jobs, Limits, Names};
-use crate::record::{JobId, Record};
+use crate::record::{JobId, Record, LEASE_FIELDS_RECORDED};
 
 /// Time after startup for which workers are fenced to learn the outcome of a job whose deadline has passed:
 /// 2 s.
@@ -26,6 +26,15 @@
     boot: Boot,
 }
 
+/// What is known of the process that wrote a record.
+#[derive(Default)]
+struct Writer {
+    /// Its clocks. `None` before the first [`Record::Opened`].
+    clocks: Option<ClockAnchor>,
+    /// Whether its leases show which attempts carried the lease's fields ([`LEASE_FIELDS_RECORDED`]).
+    records_lease_fields: bool,
+}
+
 /// Logical time at the start of this process.
 struct LogicalStart {
     now: Micros,
@@ -75,18 +84,13 @@
     ) -> Jobs {
         let mut jobs = Jobs::empty(limits, names, next_record, wall, boot);
         let mut last = 0;
-        let mut anchor = None;
+        let mut writer = Writer::default();
         for (number, record) in records {
-            last = last.max(jobs.replay(number, record, &mut anchor));
+            last = last.max(jobs.replay(number, record, &mut writer));
         }
-        let start = LogicalStart::new(anchor, last, wall, boot);
+        let start = LogicalStart::new(writer.clocks, last, wall, boot);
         jobs.logical_offset = start.now.wrapping_sub(wall) as i64;
-        jobs.write(Record::Opened {
-            at: start.now,
-            wall,
-            boot: boot.id,
-            uptime: boot.uptime,
-        });
+        jobs.write_opened();
         if !start.same_boot {
             jobs.clear_send_times();
         }
@@ -111,7 +115,7 @@
             pending: VecDeque::new(),
             effects: VecDeque::new(),
             wake_queue: Arc::default(),
-            opened_record: next_record,
+            opened_records: VecDeque::new(),
             trimmed_to: 0,
             has_list: false,
             list_is_confirmed: false,
@@ -128,22 +132,35 @@
     }
 
     /// Applies one record. Returns its logical time, or 0 if it has none.
-    fn replay(&mut self, number: u64, record: Record, anchor: &mut Option<ClockAnchor>) -> Micros {
+    fn replay(&mut self, number: u64, mut record: Record, writer: &mut Writer) -> Micros {
+        if !writer.records_lease_fields {
+            record.forget_whether_fields_were_sent();
+        }
         match record {
+            LEASE_FIELDS_RECORDED => {
+                writer.records_lease_fields = true;
+                0
+            }
             Record::Opened {
                 at,
                 wall,
                 boot,
                 uptime,
             } => {
-                if anchor.is_some_and(|anchor| anchor.boot.id != boot || boot == 0) {
+                let is_rebooted = |clocks: ClockAnchor| clocks.boot.id != boot || boot == 0;
+                if writer.clocks.is_some_and(is_rebooted) {
                     self.clear_send_times();
                 }
-                *anchor = Some(ClockAnchor {
+                let clocks = ClockAnchor {
                     logical: at,
                     wall,
                     boot: Boot { id: boot, uptime },
-                });
+                };
+                *writer = Writer {
+                    clocks: Some(clocks),
+                    records_lease_fields: false,
+                };
+                self.opened_records.push_back(number);
                 at
             }
             Record::Accepted { at, .. } | Record::Finished { at, .. } => {
@@ -224,7 +241,8 @@
             attempt.lease.sent = to_caller_time(attempt.lease.sent);
         }
         attempt.fence_at = now;
-        if attempt.state == AttemptState::Fencing && !leases {
+        let can_be_fenced = leases && attempt.lease.may_be_known_to_worker();
+        if attempt.state == AttemptState::Fencing && !can_be_fenced {
             attempt.state = AttemptState::Indeterminate;
         }
     }
--- a/crates/jobs/src/machine/store.rs
+++ b/crates/jobs/src/machine/store.rs
@@ -9,10 +9,12 @@
 
 use super::job::{Stage, UNKNOWN_SEND_TIME};
 use super::{Effect, Jobs, Pending};
-use crate::record::{JobId, Lease, Record};
+use crate::record::{JobId, Lease, Record, LEASE_FIELDS_RECORDED};
 
 /// Minimum number of records by which the log is trimmed.
 const TRIM_STEP: u64 = 64;
+/// Number of records after which the clocks are written again. The log is trimmed up to such a record.
+const OPENED_INTERVAL: u64 = 256;
 /// Maximum size of unsynced records up to which new jobs are accepted: 8 MiB.
 const MAX_UNSYNCED_BYTES: usize = 8 << 20;
 
@@ -153,16 +155,31 @@
             }
         }
         let oldest_needed = self.oldest_needed_record();
-        if oldest_needed > self.opened_record && oldest_needed > self.trimmed_to + TRIM_STEP {
+        let last_opened = self.opened_records.back().copied().unwrap_or(0);
+        if oldest_needed > last_opened + TRIM_STEP
+            || self.next_record > last_opened + OPENED_INTERVAL
+        {
             self.write_opened();
         }
-        let oldest_needed = oldest_needed.min(self.opened_record);
-        if oldest_needed > self.trimmed_to + TRIM_STEP {
-            self.trimmed_to = oldest_needed;
-            self.after_sync(Pending::Effect(Effect::Trim(oldest_needed)));
+        let trim_to = self.trim_point(oldest_needed);
+        if trim_to > self.trimmed_to + TRIM_STEP {
+            self.trimmed_to = trim_to;
+            self.opened_records.retain(|number| *number >= trim_to);
+            self.after_sync(Pending::Effect(Effect::Trim(trim_to)));
         }
     }
 
+    /// Returns the number of the first record that the log must keep: the oldest one that a job needs, or the
+    /// [`Record::Opened`] before it, which shows what its leases say.
+    fn trim_point(&self, oldest_needed: u64) -> u64 {
+        self.opened_records
+            .iter()
+            .rev()
+            .copied()
+            .find(|opened| *opened <= oldest_needed)
+            .unwrap_or(oldest_needed)
+    }
+
     /// Returns a job whose record is old enough to be written again.
     fn job_to_rewrite(&self) -> Option<JobId> {
         let oldest = |list: &BTreeMap<u64, JobId>| list.first_key_value().map(|(_, id)| *id);
@@ -190,14 +207,16 @@
             .unwrap_or(self.next_record)
     }
 
-    /// Writes the clocks again, so that the previous record of them can be trimmed.
-    fn write_opened(&mut self) {
-        self.opened_record = self.write(Record::Opened {
+    /// Writes the clocks, at the start and again so that the previous record of them can be trimmed.
+    pub(super) fn write_opened(&mut self) {
+        let opened = self.write(Record::Opened {
             at: self.logical(self.now),
             wall: self.now,
             boot: self.boot.id,
             // The uptime advances at the rate of the caller's clock.
             uptime: self.boot.uptime + (self.now - self.started_at),
         });
+        self.opened_records.push_back(opened);
+        self.write(LEASE_FIELDS_RECORDED);
     }
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -137,12 +137,29 @@
     Cancelled,
 }
 
-/// Worker start time in the lease of an attempt that was sent using a cached endpoint list. The cached address
-/// may belong to another worker by now, which may have run the job that the named worker never received. No
-/// worker's job history reaches back to this time, so builds without this constant also treat the attempt
-/// correctly.
+/// Worker start time in the lease of an attempt whose worker cannot prove that it never ran.
+///
+/// Either the attempt was sent using a cached endpoint list: its address may belong to another worker by now, which
+/// may have run the job that the named worker never received. Or it is not known whether the attempt carried the
+/// lease's fields, see [`LEASE_FIELDS_RECORDED`]. No worker's job history reaches back to this time, so builds
+/// without this constant also treat the attempt correctly.
 pub const UNCONFIRMED_START: u64 = 1;
 
+/// Worker start time in the lease of an attempt that was sent without the lease's fields, because leases were
+/// switched off. The worker does not know the lease, so there is nothing to fence. Builds without this constant
+/// fence the attempt in vain; as no worker's job history reaches back to this time, they prove nothing by it.
+pub const WITHOUT_FIELDS_START: u64 = 2;
+
+/// The record that follows each [`Record::Opened`]: up to the next one, a lease has one of the start times
+/// [`UNCONFIRMED_START`] and [`WITHOUT_FIELDS_START`] unless its attempt carried the lease's fields.
+///
+/// Builds without this constant do not write it, and record the start time of the worker in either case. They read
+/// it as the end of an attempt of an unknown job, and ignore it.
+pub const LEASE_FIELDS_RECORDED: Record = Record::Unsent {
+    id: JobId(u128::MAX),
+    token: 0,
+};
+
 /// The recorded lease of one attempt. The attempt may have run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
@@ -152,12 +169,27 @@
     /// Name of the worker in the endpoint list.
     pub worker: String,
     /// Start time of the worker according to the endpoint list, in Unix milliseconds. 0 stands for an
-    /// unspecified time long ago, [`UNCONFIRMED_START`] for an unknown time.
+    /// unspecified time long ago, [`UNCONFIRMED_START`] and [`WITHOUT_FIELDS_START`] for a time that proves nothing.
     pub start_ms: u64,
     /// Time at which the attempt was sent.
     pub sent: Micros,
 }
 
+impl Lease {
+    /// Returns whether the attempt may have carried the lease's fields, so that its worker may know the lease.
+    #[must_use]
+    pub fn may_be_known_to_worker(&self) -> bool {
+        self.start_ms != WITHOUT_FIELDS_START
+    }
+
+    /// Notes that it is not known whether the attempt carried the lease's fields.
+    pub(crate) fn forget_whether_fields_were_sent(&mut self) {
+        if self.start_ms != WITHOUT_FIELDS_START {
+            self.start_ms = UNCONFIRMED_START;
+        }
+    }
+}
+
 /// Whether an indeterminate attempt turned out to have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -240,6 +272,19 @@
 }
 
 impl Record {
+    /// Notes that it is not known which attempts carried the fields of their leases.
+    pub(crate) fn forget_whether_fields_were_sent(&mut self) {
+        let leases = match self {
+            Record::Accepted { leases, .. } => leases.as_mut_slice(),
+            Record::Leased { lease, .. } => std::slice::from_mut(lease),
+            Record::Finished { indeterminate, .. } => indeterminate.as_mut_slice(),
+            Record::Opened { .. } | Record::Unsent { .. } | Record::Dropped { .. } => &mut [],
+        };
+        for lease in leases {
+            lease.forget_whether_fields_were_sent();
+        }
+    }
+
     /// Returns the approximate number of bytes that the record occupies.
     #[must_use]
     pub fn size(&self) -> usize {
--- a/crates/jobs/tests/world/coverage.rs
+++ b/crates/jobs/tests/world/coverage.rs
@@ -7,7 +7,7 @@
 pub struct Coverage(BTreeMap<&'static str, u64>);
 
 /// The kinds of events that a long run of the simulation must cover.
-const REQUIRED: [&str; 26] = [
+const REQUIRED: [&str; 28] = [
     "served",
     "failed",
     "rejected",
@@ -16,6 +16,8 @@
     "process killed",
     "kill between a reply and its sync",
     "settled by an operator",
+    "lease setting changed",
+    "older build",
     "machine rebooted",
     "torn tail",
     "clock stepped",
--- a/crates/jobs/tests/world/faults.rs
+++ b/crates/jobs/tests/world/faults.rs
@@ -28,6 +28,7 @@
         self.schedule(0, Event::ListArrives);
         // Restarts the scheduler once more after answers have expired and the log has been trimmed.
         self.schedule(65 * S, Event::KillScheduler { reboot: false });
+        self.schedule(70 * S, Event::CheckIndeterminate);
     }
 
     /// Reports a cached list that is out of date: it contains a worker that no longer exists and the start times
--- a/crates/jobs/tests/world/invariants.rs
+++ b/crates/jobs/tests/world/invariants.rs
@@ -3,14 +3,17 @@
 //! All clients of a job get the same final answer, and no job is unfinished at the end. Whether a job ran is known
 //! from the simulated workers, independently of the state machine.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use oakshed_core::facade::Micros;
-use oakshed_jobs::record::{Answer, JobId, Outcome, UNCONFIRMED_START};
+use oakshed_jobs::record::{Answer, JobId, Outcome, UNCONFIRMED_START, WITHOUT_FIELDS_START};
 
 use super::workers::result_of;
 use super::{World, MS, S};
 
+/// Start times in leases of attempts that no worker can prove never to have run.
+const UNPROVABLE_STARTS: [u64; 2] = [UNCONFIRMED_START, WITHOUT_FIELDS_START];
+
 /// What clients and workers have observed of a job.
 #[derive(Default)]
 pub(super) struct GroundTruth {
@@ -108,13 +111,35 @@
         {
             return Err("an invariant of the state machine was violated".into());
         }
+        self.check_indeterminate_are_known()?;
+        self.check_settlement()
+    }
+
+    /// Checks that the jobs that were indeterminate at the last kill are known some seconds after it, which is less than
+    /// the time for which a settled one is retained. Those that are still indeterminate must be known at the end, too.
+    pub(super) fn check_indeterminate_after_kill(&mut self) {
+        if let Err(violation) = self.check_indeterminate_are_known() {
+            return self.report_violation(violation);
+        }
+        if let Some(scheduler) = &self.scheduler {
+            let indeterminate: HashSet<JobId> =
+                scheduler.jobs.indeterminate().into_iter().collect();
+            self.indeterminate_at_kill
+                .retain(|id| indeterminate.contains(id));
+        }
+    }
+
+    fn check_indeterminate_are_known(&self) -> Result<(), String> {
+        let Some(scheduler) = &self.scheduler else {
+            return Ok(());
+        };
         let is_unknown = |id: &&JobId| scheduler.jobs.status(**id).is_none();
-        if let Some(id) = self.indeterminate_at_kill.iter().find(is_unknown) {
-            return Err(format!(
+        match self.indeterminate_at_kill.iter().find(is_unknown) {
+            Some(id) => Err(format!(
                 "{id} was indeterminate at a restart, and is unknown after it"
-            ));
+            )),
+            None => Ok(()),
         }
-        self.check_settlement()
     }
 
     /// Checks that all indeterminate jobs are settled if workers keep their job history.
@@ -125,15 +150,16 @@
         // Without a start time in the list, a fence reply is only conclusive if the time of sending is known. After
         // a reboot it is unknown.
         let is_inconclusive = self.setup.unspecified_starts && self.boot.id > 1;
-        if is_inconclusive || !self.setup.leases || !self.setup.workers_keep_history {
+        if is_inconclusive || !scheduler.leases || !self.setup.workers_keep_history {
             return Ok(());
         }
-        // An attempt sent with a cached list may have reached a different worker, so no reply is conclusive.
+        // An attempt sent with a cached list may have reached a different worker, and one without the lease's fields is
+        // unknown to its worker, so no reply is conclusive.
         let can_be_settled = |id: &JobId| {
             let status = scheduler.jobs.status(*id);
             let status = status.and_then(|status| scheduler.jobs.confirm(status).ok());
             let mut leases = status.into_iter().flat_map(|status| status.indeterminate);
-            leases.any(|lease| lease.start_ms != UNCONFIRMED_START)
+            leases.any(|lease| !UNPROVABLE_STARTS.contains(&lease.start_ms))
         };
         let mut indeterminate = scheduler.jobs.indeterminate();
         indeterminate.retain(can_be_settled);
--- a/crates/jobs/tests/world/mod.rs
+++ b/crates/jobs/tests/world/mod.rs
@@ -17,6 +17,7 @@
 mod effects;
 mod faults;
 mod invariants;
+mod older_build;
 mod replies;
 mod scheduler;
 mod workers;
@@ -60,7 +61,7 @@
 enum Event {
     /// A client sends its next request.
     ClientRequest(usize),
-    /// A client's wait for an answer times out, unless it has made another try since the given one.
+    /// A client's wait for an answer or a status times out, unless it has made another try since the given one.
     ClientTimeout(usize, u32),
     /// A client cancels a job.
     Cancel(JobId),
@@ -72,12 +73,16 @@
     RequestArrives {
         attempt: AttemptRef,
         class: usize,
+        /// Whether the request carries the lease's fields.
+        leased: bool,
     },
     /// A worker process has run a job to its end.
     JobEnds {
         worker: usize,
         process: u64,
         attempt: AttemptRef,
+        /// Whether the job's request carried the lease's fields.
+        leased: bool,
     },
     /// Something happens on the connection of an attempt.
     Connection {
@@ -104,6 +109,8 @@
     StartScheduler,
     OutageEnds,
     RestartWorker(usize),
+    /// The jobs that were indeterminate at the last kill must still be known.
+    CheckIndeterminate,
     /// An operator settles a job.
     Settle,
     /// The scheduler receives the current endpoint list.
@@ -121,8 +128,10 @@
 /// Properties of the workers that stay the same during a simulation.
 #[derive(Clone, Copy)]
 struct Setup {
-    /// Whether workers implement the lease protocol.
+    /// Whether workers implement the lease protocol, and the scheduler may use it.
     leases: bool,
+    /// Whether each scheduler process may have another lease setting, and be of an older build.
+    settings_change: bool,
     /// Whether workers keep their job history across restarts.
     workers_keep_history: bool,
     /// Whether endpoint lists give 0, long ago, as the start time of workers that started before the simulation.
@@ -153,6 +162,8 @@
     /// The jobs that an operator has settled, until a scheduler process confirms the settlement.
     settlements: BTreeSet<JobId>,
     setup: Setup,
+    /// Whether the last scheduler process used leases.
+    last_leases: bool,
     faults_stopped: bool,
     faults_stop_at: Micros,
     /// The first violation of an invariant.
@@ -185,6 +196,7 @@
         let mut rng = Rng::with_seed(seed);
         let setup = Setup {
             leases: rng.u32(0..4) > 0,
+            settings_change: rng.u32(0..3) == 0,
             workers_keep_history: rng.bool(),
             unspecified_starts: rng.u32(0..4) == 0,
         };
@@ -207,6 +219,7 @@
             clients: Vec::new(),
             truth: HashMap::new(),
             settlements: BTreeSet::new(),
+            last_leases: setup.leases,
             setup,
             faults_stopped: false,
             faults_stop_at: EPOCH + rng.u64(3..9) * S,
@@ -306,19 +319,24 @@
             Event::ClientRequest(n) => self.run_client(n),
             Event::ClientTimeout(n, tries) => {
                 let client = &self.clients[n];
-                if client.tries == tries && client.waits_until <= self.now && !client.polls_answer {
+                if client.tries == tries && client.waits_until <= self.now {
                     self.run_client(n);
                 }
             }
             Event::Cancel(id) => self.cancel(id),
             Event::Tick(process) => self.on_tick(process),
             Event::SyncEnds(process) => self.end_sync(process),
-            Event::RequestArrives { attempt, class } => self.on_request(attempt, class),
+            Event::RequestArrives {
+                attempt,
+                class,
+                leased,
+            } => self.on_request(attempt, class, leased),
             Event::JobEnds {
                 worker,
                 process,
                 attempt,
-            } => self.on_job_end(worker, process, attempt),
+                leased,
+            } => self.on_job_end(worker, process, attempt, leased),
             Event::Connection { attempt, event } => self.on_connection_event(attempt, event),
             Event::FenceArrives {
                 fence,
@@ -328,6 +346,7 @@
             Event::FenceReplyArrives { fence, reply } => self.on_fence_reply(fence, reply),
             Event::KillScheduler { reboot } => self.kill_scheduler(reboot),
             Event::KillBeforeSync(process) => self.kill_before_sync(process),
+            Event::CheckIndeterminate => self.check_indeterminate_after_kill(),
             Event::Settle => self.settle_job(),
             Event::StartScheduler => self.start_scheduler(),
             Event::OutageEnds => _ = self.disk.set_outage(None),
--- a/crates/jobs/tests/world/scheduler.rs
+++ b/crates/jobs/tests/world/scheduler.rs
@@ -13,7 +13,9 @@
 use oakshed_jobs::machine::{Boot, Jobs, Limits, Names};
 use oakshed_jobs::record::JobId;
 
+use super::older_build;
 use super::replies::PendingReply;
+use super::workers::FIRST_START_MS;
 use super::{Event, World, EPOCH, HOUR, KEYED_WINDOW, MS, S};
 
 /// Size of a segment file in bytes.
@@ -28,6 +30,10 @@
     pub(super) log: Log<FaultyDirectory>,
     /// Difference between its clock and simulated time, in microseconds.
     pub(super) clock_offset: i64,
+    /// Whether its attempts carry the lease's fields, and it fences workers.
+    pub(super) leases: bool,
+    /// Whether it writes its log as builds did that do not record which attempts carried the lease's fields.
+    pub(super) is_older_build: bool,
     /// The records of the sync that is in progress.
     pub(super) syncing: Option<Backlog>,
     /// The clients that wait for the answer of each job.
@@ -147,7 +153,17 @@
             id: self.boot.id,
             uptime: self.now - self.boot.booted_at,
         };
-        let limits = limits(self.setup.leases);
+        let mut leases = self.setup.leases;
+        let mut is_older_build = false;
+        if self.setup.settings_change && !self.faults_stopped {
+            leases &= self.rng.bool();
+            is_older_build = self.rng.u32(0..4) == 0;
+        }
+        if leases != self.last_leases {
+            self.coverage.count("lease setting changed");
+        }
+        self.last_leases = leases;
+        let limits = limits(leases);
         let jobs = Jobs::restore(
             limits,
             names(),
@@ -163,6 +179,8 @@
             jobs,
             log,
             clock_offset,
+            leases,
+            is_older_build,
             syncing: None,
             waiting: HashMap::new(),
             pending_replies: Vec::new(),
@@ -263,10 +281,15 @@
         if scheduler.syncing.is_some() {
             return false;
         }
-        let (first, records) = scheduler.jobs.records();
+        let (first, mut records) = scheduler.jobs.records();
         if records.is_empty() {
             return false;
         }
+        if scheduler.is_older_build {
+            let start_ms = (!self.setup.unspecified_starts).then_some(FIRST_START_MS);
+            older_build::rewrite(&mut records, start_ms.unwrap_or(0));
+            self.coverage.count("older build");
+        }
         let (frames, lengths) = encode_all(first, first - 1, &records);
         let mut backlog = Backlog::default();
         backlog.push(frames, lengths, first + records.len() as u64 - 1);
--- a/crates/jobs/tests/world/workers.rs
+++ b/crates/jobs/tests/world/workers.rs
@@ -12,6 +12,8 @@
 
 use super::{AttemptRef, Event, FenceRef, World, EPOCH, HOUR, KEYED_WINDOW, MS, S};
 
+/// Start time of the workers that have not been restarted, in Unix milliseconds.
+pub(super) const FIRST_START_MS: u64 = (EPOCH - 10 * HOUR) / MS;
 /// Time between two heartbeats of a running job.
 const HEARTBEAT_INTERVAL: Micros = 200 * MS;
 
@@ -108,6 +110,7 @@
         };
         scheduler.connections.insert((id, token), connection);
         let timeout = until.saturating_sub(now.wrapping_add_signed(scheduler.clock_offset));
+        let leased = scheduler.leases;
         let attempt = AttemptRef {
             connection,
             id,
@@ -123,7 +126,12 @@
             return self.schedule(wait, ended(Ending::DialFailed));
         }
         let wait = self.network_delay();
-        self.schedule(wait, Event::RequestArrives { attempt, class });
+        let request = Event::RequestArrives {
+            attempt,
+            class,
+            leased,
+        };
+        self.schedule(wait, request);
         if self.chance(120) {
             let wait = self.rng.u64(0..600 * MS);
             self.schedule(wait, ended(Ending::Dropped));
@@ -159,26 +167,35 @@
         }
     }
 
-    /// Handles an attempt whose complete request has reached its worker.
-    pub(super) fn on_request(&mut self, attempt: AttemptRef, class: usize) {
+    /// Handles an attempt whose complete request has reached its worker. Without the lease's fields the worker runs it
+    /// as any job, and knows nothing of the lease.
+    pub(super) fn on_request(&mut self, attempt: AttemptRef, class: usize, leased: bool) {
         let connection = &self.connections[attempt.connection as usize];
         let worker = connection.worker;
         if self.workers[worker].process != connection.worker_process || !self.workers[worker].is_up
         {
             return;
         }
-        let job = self.workers[worker].history.entry(attempt.id).or_default();
-        let may_start = attempt.token > job.fenced_token && job.started_token.is_none();
+        let may_start = !leased || self.may_start(worker, attempt);
         if !may_start || self.rng.u32(0..40) == 0 {
             return self.reply(attempt, ConnectionEvent::ended(Ending::Declined));
         }
-        job.started_token = Some(attempt.token);
-        job.running = true;
+        if leased {
+            let job = self.workers[worker].history.entry(attempt.id).or_default();
+            job.started_token = Some(attempt.token);
+            job.running = true;
+        }
         if let Some(violation) = self.record_start(attempt, class) {
             return self.report_violation(violation);
         }
         self.reply(attempt, ConnectionEvent::Started);
-        self.run_job(worker, attempt);
+        self.run_job(worker, attempt, leased);
+    }
+
+    /// Returns whether a worker may start an attempt that carries a lease.
+    fn may_start(&mut self, worker: usize, attempt: AttemptRef) -> bool {
+        let job = self.workers[worker].history.entry(attempt.id).or_default();
+        attempt.token > job.fenced_token && job.started_token.is_none()
     }
 
     /// Records that a job starts. Returns the violation of an invariant, if it is one.
@@ -207,7 +224,7 @@
     }
 
     /// Schedules the heartbeats and the end of a job that starts.
-    fn run_job(&mut self, worker: usize, attempt: AttemptRef) {
+    fn run_job(&mut self, worker: usize, attempt: AttemptRef, leased: bool) {
         let duration = match self.rng.u32(0..10) {
             0 if !self.faults_stopped => self.rng.u64(S..8 * S),
             _ => self.rng.u64(5 * MS..150 * MS),
@@ -225,22 +242,32 @@
                 worker,
                 process,
                 attempt,
+                leased,
             },
         );
     }
 
     /// Ends a job at a worker, usually with a result.
-    pub(super) fn on_job_end(&mut self, worker: usize, process: u64, attempt: AttemptRef) {
+    pub(super) fn on_job_end(
+        &mut self,
+        worker: usize,
+        process: u64,
+        attempt: AttemptRef,
+        leased: bool,
+    ) {
         if self.workers[worker].process != process {
             return;
         }
-        let job = self.workers[worker].history.entry(attempt.id).or_default();
-        job.running = false;
-        if self.rng.u32(0..30) == 0 {
+        let yields_result = self.rng.u32(0..30) > 0;
+        let result = result_of(attempt.id);
+        if leased {
+            let job = self.workers[worker].history.entry(attempt.id).or_default();
+            job.running = false;
+            job.result = yields_result.then(|| result.clone());
+        }
+        if !yields_result {
             return self.reply(attempt, ConnectionEvent::ended(Ending::Error));
         }
-        let result = result_of(attempt.id);
-        job.result = Some(result.clone());
         self.reply(attempt, ConnectionEvent::End(AttemptEnd::Result(result)));
     }
 
--- a/crates/server/src/jobs_cli.rs
+++ b/crates/server/src/jobs_cli.rs
@@ -12,7 +12,7 @@
 use oakshed_jobs::disk::{self, Disk};
 use oakshed_jobs::log::{encode_all, read_all, Log, LogError, Recovered, TornTail};
 use oakshed_jobs::machine::{JobStatus, Jobs, Limits, Names};
-use oakshed_jobs::record::{Answer, JobId, Outcome, Record};
+use oakshed_jobs::record::{Answer, JobId, Outcome, Record, LEASE_FIELDS_RECORDED};
 use serde_json::{json, Value};
 
 pub use error::JobsCommandError;
@@ -275,6 +275,7 @@
         Record::Leased { id, lease } => {
             json!({"what": "leased", "id": id.to_string(), "lease": lease})
         }
+        record if *record == LEASE_FIELDS_RECORDED => json!({"what": "lease-fields-recorded"}),
         Record::Unsent { id, token } => {
             json!({"what": "unsent", "id": id.to_string(), "token": token})
         }
--- a/crates/server/tests/compatibility/store.rs
+++ b/crates/server/tests/compatibility/store.rs
@@ -12,7 +12,7 @@
 use oakshed_jobs::disk::Disk;
 use oakshed_jobs::log::Log;
 use oakshed_jobs::machine::{Boot, Jobs, Limits, Names};
-use oakshed_jobs::record::{Answer, Outcome, Record};
+use oakshed_jobs::record::{Answer, Outcome, Record, UNCONFIRMED_START};
 use oakshed_standin::{config, Discovery, Message, Peer, Program};
 
 use super::{fixture, fixture_text};
@@ -145,6 +145,20 @@
     assert_eq!((sizes.open, sizes.indeterminate, sizes.jobs), (2, 1, 10));
 }
 
+/// The recorded version did not record which attempts carried a lease, so no worker proves that one never ran.
+#[test]
+fn leases_of_a_recorded_store_are_not_disproved_by_their_workers() {
+    let dir = TestDir::new("old-store-leases");
+    let jobs = restore(&dir.0.join("store"));
+    let doubt = jobs.status(job_id("k-doubt").parse().expect("an id"));
+    let status = jobs.confirm(doubt.expect("a known job"));
+    let leases = status.expect("a status from the log").indeterminate;
+    assert!(!leases.is_empty());
+    for lease in leases {
+        assert_eq!(lease.start_ms, UNCONFIRMED_START, "{}", lease.worker);
+    }
+}
+
 /// Starts the program on the copied store with its wall clock set to shortly after the recording, as the retained
 /// answers would have expired by the current time. If the machine has not been rebooted since the recording, the
 /// program measures the time since then by the uptime, which has no offset; the longest retention that the operator's
