Call a result safe only where it is stored as the job's answer

Cause: `settle_with_result` stores the result only where the answer was a rejection, and announced it in any case. A job that was answered as failed keeps that answer, and its record has no place for a result. On a related path, a served job was announced for each attempt that had ended, also for one that had failed.

Change: only the attempt whose result is the durable answer is announced. Others keep their results by age, as the page has it. The simulation checks each announcement against the scheduler's answer.

--- a/crates/jobs/src/machine/attempts.rs
+++ b/crates/jobs/src/machine/attempts.rs
@@ -263,6 +263,7 @@
                 Observation::Ended(request, index, Ending::Delivered, load),
             );
         } else {
+            attempt.is_served = true;
             self.finish(id, Answer::Served(result), facade);
         }
     }
--- a/crates/jobs/src/machine/ends.rs
+++ b/crates/jobs/src/machine/ends.rs
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Ends all attempts of a job. Returns the notifications for workers whose attempts have ended, which are
-    /// sent once the job's answer is durable.
+    /// Ends all attempts of a job. Returns the notification for the worker whose result is the answer, which is sent
+    /// once the answer is durable.
     fn close_attempts(&mut self, id: JobId, served: bool) -> Vec<Effect> {
         let now = self.now;
         let mut notifications = Vec::new();
@@ -127,7 +127,7 @@
                     attempt.state = AttemptState::Indeterminate;
                     attempt.fence_at = now;
                 }
-                AttemptState::Ended if served && self.limits.leases => {
+                AttemptState::Ended if attempt.is_served && self.limits.leases => {
                     let worker = attempt.worker.clone();
                     notifications.push(Effect::NotifyResultStored { id, token, worker });
                 }
--- a/crates/jobs/src/machine/job.rs
+++ b/crates/jobs/src/machine/job.rs
@@ -52,6 +52,8 @@
     pub(super) fence_interval: Micros,
     /// The worker's result, until the facade decides to serve it.
     pub(super) result: Option<Vec<u8>>,
+    /// Whether its result is the job's answer.
+    pub(super) is_served: bool,
 }
 
 impl Attempt {
@@ -68,6 +70,7 @@
             fence_at: 0,
             fence_interval: INITIAL_FENCE_INTERVAL,
             result: None,
+            is_served: false,
         }
     }
 
--- a/crates/jobs/src/machine/mod.rs
+++ b/crates/jobs/src/machine/mod.rs
@@ -272,7 +272,10 @@
                     .jobs
                     .get_mut(&id)
                     .and_then(|job| job.attempt_by_facade_index_mut(attempt))
-                    .and_then(|attempt| attempt.result.take());
+                    .and_then(|attempt| {
+                        attempt.is_served = true;
+                        attempt.result.take()
+                    });
                 self.check_invariant(result.is_some(), "a served attempt has no result");
                 self.finish(id, result.map_or(Answer::Failed, Answer::Served), facade);
             }
--- a/crates/jobs/src/machine/network.rs
+++ b/crates/jobs/src/machine/network.rs
@@ -248,15 +248,17 @@
             return;
         };
         self.settle_attempt(id, token, Outcome::Ran);
-        // A rejection is not a final outcome of the job, and the result replaces it.
         let stage = self.jobs.get(&id).map(|job| &job.stage);
-        if matches!(stage, Some(Stage::Finished(Answer::Rejected(_), _))) {
-            let answer = Answer::Served(result);
-            self.retain_finished(id, answer.clone());
-            self.await_last_record(id);
-            // Status queries that came since then wait for the answer.
-            self.after_sync(Pending::Effect(Effect::Answer(id, answer)));
+        if !matches!(stage, Some(Stage::Finished(Answer::Rejected(_), _))) {
+            // The answer remains, and the result is not stored: its worker retains it.
+            return;
         }
+        // A rejection is not a final outcome of the job, and the result replaces it.
+        let answer = Answer::Served(result);
+        self.retain_finished(id, answer.clone());
+        self.await_last_record(id);
+        // Status queries that came since then wait for the answer.
+        self.after_sync(Pending::Effect(Effect::Answer(id, answer)));
         self.after_sync(Pending::Effect(Effect::NotifyResultStored {
             id,
             token,
--- a/crates/jobs/tests/lease_fields.rs
+++ b/crates/jobs/tests/fences.rs
@@ -1,4 +1,5 @@
-//! What a worker's reply to a fence proves about an attempt, by what the log says of its lease.
+//! What a worker's reply to a fence proves about an attempt, by what the log says of its lease, and what the worker is
+//! told of its result.
 //!
 //! A worker that never got the lease's fields answers truthfully that the job never started under that lease.
 
@@ -109,9 +110,14 @@
         _ = self.jobs.tick(NOW, &mut self.facade, Waker::noop());
     }
 
-    /// Answers all fences with `never`, from a worker that remembers everything since its start. Returns the tokens that
-    /// were fenced.
+    /// Answers all fences with `never`. Returns the tokens that were fenced.
     fn answer_fences_with_never(&mut self) -> Vec<u64> {
+        self.answer_fences(&FenceStatus::Never)
+    }
+
+    /// Answers all fences with a status, from a worker that remembers everything since its start. Returns the tokens
+    /// that were fenced.
+    fn answer_fences(&mut self, status: &FenceStatus) -> Vec<u64> {
         let mut tokens = Vec::new();
         while let Some(effect) = self.jobs.effect() {
             let Effect::Fence { id, token, .. } = effect else {
@@ -119,7 +125,7 @@
             };
             tokens.push(token);
             let reply = FenceReply {
-                status: FenceStatus::Never,
+                status: status.clone(),
                 since_ms: WORKER_START_MS,
             };
             let facade = &mut self.facade;
@@ -129,6 +135,16 @@
         tokens
     }
 
+    /// Returns the tokens of the attempts whose results are called stored.
+    fn stored_results(&mut self) -> Vec<u64> {
+        let effects = std::iter::from_fn(|| self.jobs.effect());
+        let token = |effect| match effect {
+            Effect::NotifyResultStored { token, .. } => Some(token),
+            _ => None,
+        };
+        effects.filter_map(token).collect()
+    }
+
     /// Makes all records durable and returns them.
     fn sync(&mut self) -> Vec<Record> {
         let (first, records) = self.jobs.records();
@@ -241,6 +257,47 @@
     }
 }
 
+/// Guards against a worker that drops the only copy of a result: that of a job which was answered as failed is not
+/// stored.
+#[test]
+fn only_a_stored_result_is_called_stored() {
+    let lease = lease(2, WORKER_START_MS);
+    let done = FenceStatus::Done(b"result".to_vec());
+    for (record, stored) in [
+        (failed_indeterminate(vec![lease.clone()]), vec![]),
+        (accepted(vec![lease]), vec![2]),
+    ] {
+        let records = vec![opened(), LEASE_FIELDS_RECORDED, record];
+        let mut process = Process::start(true, records);
+        assert_eq!(process.answer_fences(&done), [2]);
+        process.sync();
+        assert_eq!(process.stored_results(), stored);
+    }
+}
+
+/// Guards against a worker that is told of a result which another worker has returned.
+#[test]
+fn result_of_another_attempt_is_not_called_stored() {
+    let leases = vec![lease(2, WORKER_START_MS), lease(3, WORKER_START_MS)];
+    let records = vec![opened(), LEASE_FIELDS_RECORDED, accepted(leases)];
+    let mut process = Process::start(true, records);
+    let facade = &mut process.facade;
+    for (token, status) in [
+        (2, FenceStatus::Failed),
+        (3, FenceStatus::Done(b"result".to_vec())),
+    ] {
+        let reply = FenceReply {
+            status,
+            since_ms: WORKER_START_MS,
+        };
+        process
+            .jobs
+            .on_fence_reply(NOW, id(), token, Some(reply), true, facade);
+    }
+    process.sync();
+    assert_eq!(process.stored_results(), [3]);
+}
+
 /// Guards against an outcome that is given for a job although another attempt of it is still in doubt.
 #[test]
 fn outcome_of_one_attempt_is_not_that_of_the_job() {
--- a/crates/jobs/tests/world/effects.rs
+++ b/crates/jobs/tests/world/effects.rs
@@ -42,6 +42,9 @@
                 self.send_fence(fence, &worker);
             }
             Effect::NotifyResultStored { id, worker, .. } => {
+                if let Err(violation) = self.check_result_is_stored(id) {
+                    return self.report_violation(violation);
+                }
                 let receiver = self.receiver(&worker);
                 if let Some(receiver) = receiver.filter(|_| !self.chance(100)) {
                     let job = self.workers[receiver].history.entry(id).or_default();
--- a/crates/jobs/tests/world/invariants.rs
+++ b/crates/jobs/tests/world/invariants.rs
@@ -90,6 +90,21 @@
         self.clients[n].done = true;
     }
 
+    /// Checks that the scheduler has the result of a job of which a worker is told that it may drop it.
+    pub(super) fn check_result_is_stored(&self, id: JobId) -> Result<(), String> {
+        let status = self.scheduler.as_ref().and_then(|scheduler| {
+            let status = scheduler.jobs.status(id)?;
+            scheduler.jobs.confirm(status).ok()
+        });
+        // A job whose retention is over is not known any more.
+        match status.map(|status| status.answer) {
+            None | Some(Some(Answer::Served(_))) => Ok(()),
+            Some(answer) => Err(format!(
+                "{id}: a result is called stored, the answer is {answer:?}"
+            )),
+        }
+    }
+
     /// Checks the invariants that hold once everything has recovered from the faults.
     pub(super) fn check_end(&mut self) -> Result<(), String> {
         if let Some(client) = self.clients.iter().find(|client| !client.done) {
