Believe `never` only where the list names that worker alone at its address

Cause: an attempt is fenced at the last address that is known for its worker, also once that has left the list, and the reply names no worker. Whether it counts went by whether any list had been confirmed.

Change: a fence's `never` counts only if the list names the worker, and no other one, at the address before the call and after the answer; otherwise it is as if nothing was answered. `done`, `running` and `failed` are about the job and count as before.

--- a/crates/jobs/src/machine/network.rs
+++ b/crates/jobs/src/machine/network.rs
@@ -159,8 +159,8 @@
         self.advance_woken_jobs(now, facade);
     }
 
-    /// Reports a worker's reply to a fence, or `None` if there was no reply. `confirmed` is the value from
-    /// [`Effect::Fence`].
+    /// Reports a worker's reply to a fence, or `None` if there was no reply. `confirmed` is whether the reply is from the
+    /// worker that the fence names, see [`Effect::Fence`].
     pub fn on_fence_reply(
         &mut self,
         now: Micros,
@@ -171,9 +171,8 @@
         facade: &mut Facade,
     ) {
         self.now = now;
-        // A different worker at a cached address replies `Never`, because it never received the job. This
-        // counts as no reply, and the fence is repeated. Any other reply concerns this job, whichever worker
-        // sends it.
+        // A different worker at the address replies `Never`, because it never received the job. This counts as no
+        // reply, and the fence is repeated. Any other reply concerns this job, whichever worker sends it.
         let reply = reply.filter(|reply| confirmed || reply.status != FenceStatus::Never);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/jobs/src/machine/types.rs
+++ b/crates/jobs/src/machine/types.rs
@@ -92,7 +92,8 @@
         token: u64,
         /// Name of the worker.
         worker: Rc<str>,
-        /// Whether the worker's address is from a confirmed endpoint list. To be passed to `on_fence_reply`.
+        /// Whether the endpoint list is confirmed. `on_fence_reply` gets this value, or false if the list does not name
+        /// this worker alone at its address.
         confirmed: bool,
     },
     /// Notify a worker that the scheduler has stored its result durably. The notification may be lost.
--- a/crates/server/src/net/durable/mod.rs
+++ b/crates/server/src/net/durable/mod.rs
@@ -264,7 +264,8 @@
     }
 
     /// Fences a lease at a worker, on a task of its own. Beyond [`MAX_CONCURRENT_FENCES`], no call is made: the fence
-    /// counts as unanswered, and the state machine retries it later.
+    /// counts as unanswered, and the state machine retries it later. An answer may be another worker's unless the list
+    /// names this one alone at its address, before the call and after it.
     fn start_fence(&self, net: &Rc<Net>, id: JobId, token: u64, worker: Rc<str>, confirmed: bool) {
         let has_capacity = self.fences_in_progress.get() < MAX_CONCURRENT_FENCES;
         let calls = usize::from(has_capacity);
@@ -273,6 +274,7 @@
         let net = net.clone();
         tokio::task::spawn_local(async move {
             let mut reply = None;
+            let address = net.workers.exclusive_address(&worker);
             if has_capacity {
                 let call = fence(&net, &worker, id, token);
                 reply = timeout(FENCE_TIMEOUT, call).await.ok().flatten();
@@ -281,6 +283,9 @@
             durable
                 .fences_in_progress
                 .set(durable.fences_in_progress.get() - calls);
+            let is_address_current =
+                address.is_some() && address == net.workers.exclusive_address(&worker);
+            let confirmed = confirmed && is_address_current;
             let facade = &mut net.facade.borrow_mut();
             let mut jobs = durable.jobs.borrow_mut();
             jobs.on_fence_reply(net.clock.now(), id, token, reply, confirmed, facade);
--- a/crates/server/src/net/workers/mod.rs
+++ b/crates/server/src/net/workers/mod.rs
@@ -53,6 +53,8 @@
 
 struct Worker {
     address: SocketAddr,
+    /// Whether the list names it, ready or not.
+    listed: bool,
     ready: bool,
     /// Idle connections and the time since when they are idle, newest last.
     idle: Vec<(Micros, Connection)>,
@@ -115,6 +117,7 @@
         let mut ready = self.ready.get();
         if kind == UpdateKind::Snapshot {
             for worker in by_name.values_mut() {
+                worker.listed = false;
                 worker.ready = false;
             }
             ready = 0;
@@ -122,6 +125,7 @@
         for (entry, address) in list {
             let new = || Worker {
                 address,
+                listed: false,
                 ready: false,
                 idle: Vec::new(),
             };
@@ -130,6 +134,7 @@
                 worker.idle.clear();
             }
             worker.address = address;
+            worker.listed = entry.condition != Condition::Left;
             ready -= usize::from(worker.ready);
             worker.ready = entry.condition == Condition::Active;
             ready += usize::from(worker.ready);
@@ -196,6 +201,17 @@
         self.by_name.borrow().get(name).map(|worker| worker.address)
     }
 
+    /// The address of a worker if the list names it there, and no other one: an answer from there is this worker's.
+    pub(crate) fn exclusive_address(&self, name: &str) -> Option<SocketAddr> {
+        let by_name = self.by_name.borrow();
+        let address = by_name.get(name)?.address;
+        let mut at_address = by_name
+            .iter()
+            .filter(|(_, worker)| worker.listed && worker.address == address);
+        let (listed_name, _) = at_address.next()?;
+        (at_address.next().is_none() && **listed_name == *name).then_some(address)
+    }
+
     fn ready_address(&self, name: &str) -> Option<SocketAddr> {
         self.by_name
             .borrow()
