Share the ledgers, limits and status queries of the durable jobs' tests

Need: four tests each wrote the ledger of a worker that claims an early start, three each queried a job's status, and four of the state machine each spelled out the same limits.

Change: `Ledger::begin` in the stand-in; `WORKER_AGE`, `job_status` and `job_path_request` in the tests' common module; `limits` in that of the state machine. In durable_fences.rs the list's start of the first worker is ten minutes after its ledger's beginning, in place of one second, so that the second worker's ledger is older on a slow machine too. The limits on jobs are higher than before in settled.rs, which none of its steps reaches.

--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -10,6 +10,18 @@
 /// One second.
 pub const S: Micros = 1_000_000;
 
+/// Limits that no test reaches unless it sets others.
+pub fn limits(leases: bool) -> Limits {
+    Limits {
+        leases,
+        lease: S,
+        retention: 3_600 * S,
+        max_open: 10_000,
+        max_jobs: 10_000,
+        max_bytes: 1 << 30,
+    }
+}
+
 /// Restores the state machine from a log's records, and creates a facade for it. `next_record` is the number of
 /// the record that the state machine writes next.
 pub fn restore_jobs(
--- a/crates/jobs/tests/fences.rs
+++ b/crates/jobs/tests/fences.rs
@@ -9,13 +9,13 @@
 use std::task::Waker;
 
 use oakshed_core::facade::Facade;
-use oakshed_jobs::machine::{Effect, FenceReply, FenceStatus, JobStatus, Jobs, Limits};
+use oakshed_jobs::machine::{Effect, FenceReply, FenceStatus, JobStatus, Jobs};
 use oakshed_jobs::record::{
     Answer, JobId, JobPayload, Key, Lease, Outcome, Record, LEASE_FIELDS_RECORDED,
     UNCONFIRMED_START, WITHOUT_FIELDS_START,
 };
 
-use common::{restore_jobs, NOW, S};
+use common::{limits, restore_jobs, NOW, S};
 
 /// Start time of the worker in the list, in Unix milliseconds. Its job history begins then.
 const WORKER_START_MS: u64 = 1_600_000_000_000;
@@ -84,16 +84,8 @@
 
 impl Process {
     fn start(leases: bool, records: Vec<Record>) -> Process {
-        let limits = Limits {
-            leases,
-            lease: S,
-            retention: 3_600 * S,
-            max_open: 100,
-            max_jobs: 10_000,
-            max_bytes: 1 << 20,
-        };
         let next = records.len() as u64 + 1;
-        let (jobs, facade) = restore_jobs(limits, (1..).zip(records).collect(), next);
+        let (jobs, facade) = restore_jobs(limits(leases), (1..).zip(records).collect(), next);
         let mut process = Process { jobs, facade };
         let worker: Rc<str> = WORKER.into();
         process.jobs.on_endpoint_list(
@@ -395,15 +387,7 @@
     let kept = (1..).zip(log).filter(|(number, _)| *number >= trimmed_to);
     let records: Vec<(u64, Record)> = kept.collect();
     let next = records.last().map_or(1, |(number, _)| number + 1);
-    let limits = Limits {
-        leases: true,
-        lease: S,
-        retention: 3_600 * S,
-        max_open: 100,
-        max_jobs: 10_000,
-        max_bytes: 1 << 20,
-    };
-    let (jobs, _) = restore_jobs(limits, records, next);
+    let (jobs, _) = restore_jobs(limits(true), records, next);
     let status = jobs.status(id()).expect("a known job");
     let status = jobs.confirm(status).expect("durable records");
     assert_eq!(status.indeterminate[0].start_ms, WORKER_START_MS);
--- a/crates/jobs/tests/replies.rs
+++ b/crates/jobs/tests/replies.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use oakshed_core::facade::Facade;
-use oakshed_jobs::machine::{Cancellation, Effect, Jobs, Limits, Provisional, Submitted};
+use oakshed_jobs::machine::{Cancellation, Effect, Jobs, Provisional, Submitted};
 use oakshed_jobs::record::{Answer, JobId, JobPayload, Key};
 
-use common::{restore_jobs, NOW, S};
+use common::{limits, restore_jobs, NOW, S};
 
 /// A scheduler without workers, so that jobs stay in the queue.
 struct Fixture {
@@ -16,15 +16,7 @@
 
 impl Fixture {
     fn new() -> Fixture {
-        let limits = Limits {
-            leases: false,
-            lease: S,
-            retention: 3_600 * S,
-            max_open: 100,
-            max_jobs: 100,
-            max_bytes: 1 << 20,
-        };
-        let (jobs, facade) = restore_jobs(limits, Vec::new(), 1);
+        let (jobs, facade) = restore_jobs(limits(false), Vec::new(), 1);
         let mut fixture = Fixture { jobs, facade };
         fixture.sync();
         fixture
--- a/crates/jobs/tests/settled.rs
+++ b/crates/jobs/tests/settled.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use oakshed_core::facade::Facade;
-use oakshed_jobs::machine::{Jobs, Limits, Submitted};
+use oakshed_jobs::machine::{Jobs, Submitted};
 use oakshed_jobs::record::{Answer, JobId, JobPayload, Key, Lease, Outcome, Record};
 
-use common::{restore_jobs, NOW, S};
+use common::{limits, restore_jobs, NOW, S};
 
 fn payload() -> JobPayload {
     JobPayload {
@@ -20,14 +20,6 @@
 /// Restores the state machine with one failed job whose answer is durable and whose only attempt is
 /// indeterminate.
 fn restore_indeterminate_job(id: JobId) -> (Jobs, Facade) {
-    let limits = Limits {
-        leases: false,
-        lease: S,
-        retention: 3_600 * S,
-        max_open: 100,
-        max_jobs: 100,
-        max_bytes: 1 << 20,
-    };
     let lease = Lease {
         token: 1,
         worker: "w-1".into(),
@@ -42,7 +34,7 @@
         indeterminate: vec![lease],
         outcome: None,
     };
-    restore_jobs(limits, vec![(2, finished)], 3)
+    restore_jobs(limits(false), vec![(2, finished)], 3)
 }
 
 /// Guards against a client that resubmits its job between the settlement and its sync, and then waits for an
--- a/crates/jobs/tests/unsynced_limit.rs
+++ b/crates/jobs/tests/unsynced_limit.rs
@@ -4,25 +4,14 @@
 mod common;
 
 use oakshed_core::facade::Facade;
-use oakshed_jobs::machine::{Jobs, Limits, Provisional, Submitted};
+use oakshed_jobs::machine::{Jobs, Provisional, Submitted};
 use oakshed_jobs::record::{JobId, JobPayload, Key};
 
-use common::{restore_jobs, NOW, S};
+use common::{limits, restore_jobs, NOW, S};
 
 /// Length of each request body in bytes.
 const BODY_LENGTH: usize = 60 << 10;
 
-fn limits() -> Limits {
-    Limits {
-        leases: true,
-        lease: S,
-        retention: 3_600 * S,
-        max_open: 10_000,
-        max_jobs: 10_000,
-        max_bytes: 1 << 30,
-    }
-}
-
 /// Submits the job with the key `n`.
 fn submit(jobs: &mut Jobs, facade: &mut Facade, n: u32) -> Submitted {
     let payload = JobPayload {
@@ -42,7 +31,7 @@
 
 #[test]
 fn jobs_beyond_the_limit_are_rejected_until_earlier_ones_are_durable() {
-    let (mut jobs, mut facade) = restore_jobs(limits(), Vec::new(), 1);
+    let (mut jobs, mut facade) = restore_jobs(limits(true), Vec::new(), 1);
     let mut accepted: Vec<Provisional<()>> = Vec::new();
     while let Submitted::Open(reply) = submit(&mut jobs, &mut facade, accepted.len() as u32) {
         accepted.push(reply);
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -1,8 +1,9 @@
 //! Helpers for tests of durable jobs: temporary directories, requests with an idempotency key, and job ids.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
-use oakshed_standin::request;
+use oakshed_standin::{request, Program};
 
 /// A temporary directory, removed when dropped.
 pub struct TestDir(pub PathBuf);
@@ -40,6 +41,32 @@
     )
 }
 
+/// How long before a test its workers claim to have started: the scheduler sends little to workers in slow start.
+#[allow(
+    dead_code,
+    reason = "not every test that shares this module has workers with ledgers"
+)]
+pub const WORKER_AGE: Duration = Duration::from_secs(3 * 3_600);
+
+/// The status of the job with this idempotency key, as `GET /jobs/ID` shows it.
+#[allow(
+    dead_code,
+    reason = "not every test that shares this module queries a status"
+)]
+pub fn job_status(program: &Program, key: &str) -> serde_json::Value {
+    let answer = program.send(&job_path_request("GET", key));
+    serde_json::from_slice(&answer.body).expect("a status")
+}
+
+/// A request for `/jobs/ID` of the job with this idempotency key.
+#[allow(
+    dead_code,
+    reason = "not every test that shares this module queries a status"
+)]
+pub fn job_path_request(method: &str, key: &str) -> String {
+    format!("{method} /jobs/{} HTTP/1.1\r\nHost: x\r\n\r\n", job_id(key))
+}
+
 /// The id of the job with this idempotency key, as the store, workers and clients see it.
 pub fn job_id(key: &str) -> String {
     oakshed_jobs::record::JobId::of(
--- a/crates/server/tests/durable_fences.rs
+++ b/crates/server/tests/durable_fences.rs
@@ -8,13 +8,15 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use common::{job_id, keyed_request, TestDir};
+use common::{job_status, keyed_request, TestDir, WORKER_AGE};
 use oakshed_standin::*;
 
 /// How long a worker that is killed amid a job would have run it, in milliseconds.
 const LONG_SERVICE_MS: &str = "20000";
+/// How much later than its ledger the list says that the first worker started, in milliseconds.
+const LISTED_START_DELAY_MS: u64 = 600_000;
 /// How long the other worker has to be fenced and to answer.
 const FENCE_TIME: Duration = Duration::from_secs(2);
 
@@ -22,15 +24,13 @@
 struct WorkerProcess {
     child: Child,
     ledger: PathBuf,
+    since_ms: u64,
 }
 
 impl WorkerProcess {
     /// Starts a worker whose ledger begins three hours ago.
     fn start(at: SocketAddr, ledger: &Path) -> WorkerProcess {
-        let line = serde_json::to_string(&Line::Since {
-            ms: ledger_start_ms(),
-        });
-        std::fs::write(ledger, line.expect("a line") + "\n").expect("written");
+        let since_ms = Ledger::begin(ledger, WORKER_AGE).expect("a ledger");
         let child = Command::new(Program::binary().with_file_name("oakshed-standin"))
             .args(["--listen", &at.to_string()])
             .args(["--service-ms", LONG_SERVICE_MS, "--ledger"])
@@ -46,6 +46,7 @@
         WorkerProcess {
             child,
             ledger: ledger.to_owned(),
+            since_ms,
         }
     }
 
@@ -65,17 +66,6 @@
     }
 }
 
-fn ledger_start_ms() -> u64 {
-    let start = SystemTime::now() - Duration::from_secs(3 * 3_600);
-    let since_epoch = start.duration_since(UNIX_EPOCH).expect("after 1970");
-    since_epoch.as_millis() as u64
-}
-
-fn status(program: &Program) -> serde_json::Value {
-    let text = format!("GET /jobs/{} HTTP/1.1\r\nHost: x\r\n\r\n", job_id("k-1"));
-    serde_json::from_slice(&program.send(&text).body).expect("a status")
-}
-
 /// Plays the scenario. `list_other` is called once the other worker runs at the address of the first one.
 fn fence_reaches_another_worker(name: &str, list_other: impl FnOnce(&Discovery)) {
     let dir = TestDir::new(name);
@@ -84,8 +74,9 @@
     let first = WorkerProcess::start(at, &dir.0.join("s-1"));
     let discovery = Discovery::new(&[("s-1", at), ("s-2", at)]);
     discovery.set("s-2", "gone");
-    discovery.started("s-1", ledger_start_ms() + 1_000);
-    discovery.started("s-2", ledger_start_ms());
+    // The other worker's ledger begins some milliseconds later than the first one's, and before this start.
+    discovery.started("s-1", first.since_ms + LISTED_START_DELAY_MS);
+    discovery.started("s-2", first.since_ms);
     let program = Program::start_durable(&discovery, &dir.operator_config(true));
     let request = keyed_request("transfer", "id-1", "k-1", "").replace("Ms: 5000", "Ms: 4000");
     std::thread::scope(|scope| {
@@ -99,7 +90,10 @@
         assert_eq!(answer.status(), 502, "{}", program.log());
         std::thread::sleep(FENCE_TIME);
         assert!(second.has_been_fenced(), "the other worker was not fenced");
-        assert_eq!(status(&program)["outcome"], serde_json::Value::Null);
+        assert_eq!(
+            job_status(&program, "k-1")["outcome"],
+            serde_json::Value::Null
+        );
         assert_eq!(program.send(&request).status(), 502);
         assert_eq!(second.starts(), 0, "the job ran again at the other worker");
     });
--- a/crates/server/tests/durable_kills.rs
+++ b/crates/server/tests/durable_kills.rs
@@ -15,9 +15,9 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use common::{job_id, keyed_request, TestDir};
+use common::{job_id, keyed_request, TestDir, WORKER_AGE};
 use oakshed_fault_injection::Faults;
 use oakshed_standin::*;
 use readiness::until_ready;
@@ -177,15 +177,8 @@
                 .expect("started")
         }),
     });
-    // The workers claim an early start: each new incarnation would send next to nothing to workers in slow start.
-    let started_at = SystemTime::now() - Duration::from_secs(3 * 3_600);
-    let ms = started_at
-        .duration_since(UNIX_EPOCH)
-        .expect("after 1970")
-        .as_millis() as u64;
     for ledger in &ledgers {
-        let line = serde_json::to_string(&Line::Since { ms }).expect("a line");
-        std::fs::write(ledger, line + "\n").expect("written");
+        Ledger::begin(ledger, WORKER_AGE).expect("a ledger");
     }
     processes[..names.len()]
         .iter_mut()
--- a/crates/server/tests/durable_lease_settings.rs
+++ b/crates/server/tests/durable_lease_settings.rs
@@ -7,9 +7,9 @@
 
 use std::io::Write;
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use common::{job_id, keyed_request, TestDir};
+use common::{job_status, keyed_request, TestDir, WORKER_AGE};
 use oakshed_standin::*;
 
 /// How long a job runs that outlasts a kill and the next start.
@@ -31,12 +31,7 @@
     fn new(name: &str, service: Duration) -> Installation {
         let dir = TestDir::new(name);
         let ledger = dir.0.join("ledger");
-        // The worker claims an early start, as the scheduler sends little to workers in slow start.
-        let started_at = SystemTime::now() - Duration::from_secs(3 * 3_600);
-        let since_start = started_at.duration_since(UNIX_EPOCH).expect("after 1970");
-        let ms = since_start.as_millis() as u64;
-        let line = serde_json::to_string(&Line::Since { ms }).expect("a line");
-        std::fs::write(&ledger, line + "\n").expect("written");
+        Ledger::begin(&ledger, WORKER_AGE).expect("a ledger");
         let options = WorkerOptions {
             ledger: Some(ledger.clone()),
             service,
@@ -75,11 +70,6 @@
     keyed_request("transfer", "id-1", "k-1", "")
 }
 
-fn status(program: &Program) -> serde_json::Value {
-    let text = format!("GET /jobs/{} HTTP/1.1\r\nHost: x\r\n\r\n", job_id("k-1"));
-    serde_json::from_slice(&program.send(&text).body).expect("a status")
-}
-
 fn stop(program: &mut Program, signal: &str) {
     program.signal(signal);
     program.wait();
@@ -96,7 +86,10 @@
     assert_eq!(answer.status(), 502, "{}", program.log());
     std::thread::sleep(SETTLING_TIME);
     assert_eq!(installation.starts(), 1, "the job ran twice");
-    assert_eq!(status(&program)["outcome"], serde_json::Value::Null);
+    assert_eq!(
+        job_status(&program, "k-1")["outcome"],
+        serde_json::Value::Null
+    );
 }
 
 /// Guards against a transfer that runs twice: the attempt carried no lease, so the worker's `never` is no proof.
@@ -122,8 +115,11 @@
     stop(&mut program, "-KILL");
     let program = installation.start(true);
     std::thread::sleep(SETTLING_TIME);
-    assert_eq!(status(&program)["outcome"], serde_json::Value::Null);
-    assert_eq!(status(&program)["in_doubt"][0]["worker"], "s-1");
+    assert_eq!(
+        job_status(&program, "k-1")["outcome"],
+        serde_json::Value::Null
+    );
+    assert_eq!(job_status(&program, "k-1")["in_doubt"][0]["worker"], "s-1");
 }
 
 /// Guards against a lease that is forgotten while leases are off: once they are on again, the worker knows the job.
@@ -135,11 +131,11 @@
     stop(&mut program, "-KILL");
     let mut program = installation.start(false);
     assert_eq!(program.send(&job_request()).status(), 502);
-    assert_eq!(status(&program)["in_doubt"][0]["worker"], "s-1");
+    assert_eq!(job_status(&program, "k-1")["in_doubt"][0]["worker"], "s-1");
     stop(&mut program, "-TERM");
     let program = installation.start(true);
     until("the outcome that the worker knows", || {
-        status(&program)["outcome"] == "ran"
+        job_status(&program, "k-1")["outcome"] == "ran"
     });
     assert_eq!(program.send(&job_request()).status(), 502);
     assert_eq!(installation.starts(), 1);
--- a/crates/server/tests/durable_outages.rs
+++ b/crates/server/tests/durable_outages.rs
@@ -13,9 +13,9 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use common::{job_id, keyed_request, TestDir};
+use common::{job_id, keyed_request, TestDir, WORKER_AGE};
 use oakshed_fault_injection::{Faults, Switch};
 use oakshed_standin::*;
 use readiness::until_ready;
@@ -57,17 +57,11 @@
 
 impl Fleet {
     fn start(dir: &Path) -> Fleet {
-        let started_at = SystemTime::now() - Duration::from_secs(3 * 3_600);
-        let ms = started_at
-            .duration_since(UNIX_EPOCH)
-            .expect("after 1970")
-            .as_millis() as u64;
         let names = ["s-0", "s-1", "s-2"];
         let ledgers: Vec<PathBuf> = names.iter().map(|name| dir.join(name)).collect();
         let mut workers = Vec::new();
         for ledger in &ledgers {
-            let line = serde_json::to_string(&Line::Since { ms }).expect("a line");
-            std::fs::write(ledger, line + "\n").expect("written");
+            Ledger::begin(ledger, WORKER_AGE).expect("a ledger");
             let service = Duration::from_millis(10);
             let options = WorkerOptions {
                 ledger: Some(ledger.clone()),
--- a/crates/server/tests/durable_replies.rs
+++ b/crates/server/tests/durable_replies.rs
@@ -7,7 +7,7 @@
 
 use std::process::{Command, Stdio};
 
-use common::{job_id, keyed_request, TestDir};
+use common::{job_id, job_path_request, job_status, keyed_request, TestDir};
 use oakshed_fault_injection::{Faults, Switch};
 use oakshed_standin::*;
 
@@ -83,15 +83,6 @@
     request.replace("Ms: 5000", "Ms: 1500")
 }
 
-fn job_request(method: &str, key: &str) -> String {
-    format!("{method} /jobs/{} HTTP/1.1\r\nHost: x\r\n\r\n", job_id(key))
-}
-
-fn state_of(program: &Program, key: &str) -> serde_json::Value {
-    let answer = program.send(&job_request("GET", key));
-    serde_json::from_slice(&answer.body).expect("a status")
-}
-
 /// Guards against a transfer that runs although its withdrawal was confirmed: the record was not durable when the
 /// scheduler was killed.
 #[test]
@@ -101,18 +92,21 @@
     installation.drain_worker(&program);
     assert_eq!(program.send(&detached_request("k-1")).status(), 202);
     installation.begin_outage();
-    let unconfirmed = program.send(&job_request("DELETE", "k-1"));
+    let unconfirmed = program.send(&job_path_request("DELETE", "k-1"));
     assert_eq!(unconfirmed.status(), 504, "{}", unconfirmed.first);
-    assert_eq!(state_of(&program, "k-1")["state"], "open");
+    assert_eq!(job_status(&program, "k-1")["state"], "open");
     installation.end_outage(&program, 1);
-    let confirmed = program.send(&job_request("DELETE", "k-1"));
+    let confirmed = program.send(&job_path_request("DELETE", "k-1"));
     assert_eq!(confirmed.status(), 200, "{}", confirmed.first);
     program.signal("-KILL");
     program.wait();
     installation.discovery.set("s-1", "ready");
     let program = installation.start();
-    assert_eq!(state_of(&program, "k-1")["state"], "withdrawn");
-    assert_eq!(program.send(&job_request("DELETE", "k-1")).status(), 200);
+    assert_eq!(job_status(&program, "k-1")["state"], "withdrawn");
+    assert_eq!(
+        program.send(&job_path_request("DELETE", "k-1")).status(),
+        200
+    );
     assert_eq!(installation.worker.count(), 0, "a withdrawn job was sent");
 }
 
@@ -132,14 +126,14 @@
         let conflict = detached_request("k-1").replace("body", "BODY");
         let conflict = program.send(&conflict);
         assert_eq!(conflict.status(), 504, "{}", conflict.first);
-        let status = program.send(&job_request("GET", "k-1"));
+        let status = program.send(&job_path_request("GET", "k-1"));
         assert_eq!(status.status(), 504, "{}", status.first);
         assert_eq!(submission.join().expect("no panic"), 504);
     });
     installation.end_outage(&program, 1);
     let conflict = detached_request("k-1").replace("body", "BODY");
     assert_eq!(program.send(&conflict).status(), 422);
-    assert_eq!(program.send(&job_request("GET", "k-1")).status(), 200);
+    assert_eq!(program.send(&job_path_request("GET", "k-1")).status(), 200);
 }
 
 /// Guards against an operator's settlement that is reported before it is durable.
@@ -159,18 +153,18 @@
     until("the write of the settlement", || {
         installation.faults.strikes(SYNC) > 0
     });
-    let unconfirmed = program.send(&job_request("GET", "k-1"));
+    let unconfirmed = program.send(&job_path_request("GET", "k-1"));
     assert_eq!(unconfirmed.status(), 504, "{}", unconfirmed.first);
     assert!(!program.log().contains("settled by an operator"));
     installation.end_outage(&program, 1);
     until("the line that confirms the settlement", || {
         program.log().contains("settled by an operator")
     });
-    assert_eq!(state_of(&program, "k-1")["outcome"], "ran");
+    assert_eq!(job_status(&program, "k-1")["outcome"], "ran");
     program.signal("-KILL");
     program.wait();
     let program = installation.start();
-    assert_eq!(state_of(&program, "k-1")["outcome"], "ran");
+    assert_eq!(job_status(&program, "k-1")["outcome"], "ran");
 }
 
 /// Guards against a status query that a planned restart cuts off without an answer.
@@ -180,7 +174,7 @@
     let mut program = installation.start();
     installation.drain_worker(&program);
     assert_eq!(program.send(&detached_request("k-1")).status(), 202);
-    let query = job_request("GET", "k-1").replace("Host", "Prefer: wait=10\r\nHost");
+    let query = job_path_request("GET", "k-1").replace("Host", "Prefer: wait=10\r\nHost");
     std::thread::scope(|scope| {
         let query = scope.spawn(|| send_raw(program.address, &query));
         until("a log line of the shutdown", || {
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -7,7 +7,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Seek, Write};
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +80,18 @@
 }
 
 impl Ledger {
+    /// Writes a new file whose memory begins this long ago, and returns that time in Unix time milliseconds. A worker
+    /// that claims such a start is not in slow start.
+    ///
+    /// # Errors
+    /// Fails when the file cannot be written.
+    pub fn begin(path: &Path, age: Duration) -> std::io::Result<u64> {
+        let ms = now_ms() - age.as_millis() as u64;
+        let line = serde_json::to_string(&Line::Since { ms })?;
+        std::fs::write(path, line + "\n")?;
+        Ok(ms)
+    }
+
     /// Opens the file, if there is to be one, and replays what earlier processes have written. A line truncated
     /// by a crash was never acted on and is dropped.
     ///
