Give waiting clients the result that replaces a rejection in the same sync

One client got the result, and another one, which had waited longer, the rejection after it.

Cause: both records became durable in one sync. A submission that found the job finished was given the newest answer, one that waited since before the rejection.

Change: while an answer is being written, a submission waits for it with the others (`Submitted::Ending`), and a result that replaces a rejection takes its place for those who still wait.

--- a/crates/jobs/src/machine/clients.rs
+++ b/crates/jobs/src/machine/clients.rs
@@ -73,10 +73,10 @@
         match &job.stage {
             // A rejected job may be submitted again.
             Stage::Finished(Answer::Rejected(_), number) if *number <= self.last_synced => None,
-            Stage::Finished(answer, number) => {
-                let answer = Provisional::after(*number, answer.clone());
-                Some(Submitted::Finished(answer))
+            Stage::Finished(answer, number) if *number <= self.last_synced => {
+                Some(Submitted::Finished(answer.clone()))
             }
+            Stage::Finished(..) => Some(Submitted::Ending),
             Stage::Waiting | Stage::Scheduled(_) => {
                 let accepted = Provisional::after(job.status_record, ());
                 Some(Submitted::Open(accepted))
--- a/crates/jobs/src/machine/network.rs
+++ b/crates/jobs/src/machine/network.rs
@@ -256,7 +256,10 @@
         let answer = Answer::Served(result);
         self.retain_finished(id, answer.clone());
         self.await_last_record(id);
-        // Status queries that came since then wait for the answer.
+        // Clients that still wait for the rejection to be written get the result in its place.
+        self.pending.retain(|(_, pending)| {
+            !matches!(pending, Pending::Effect(Effect::Answer(job, _)) if *job == id)
+        });
         self.after_sync(Pending::Effect(Effect::Answer(id, answer)));
         self.after_sync(Pending::Effect(Effect::NotifyResultStored {
             id,
--- a/crates/jobs/src/machine/types.rs
+++ b/crates/jobs/src/machine/types.rs
@@ -39,8 +39,10 @@
     /// The job is open, from this submission or an earlier one. The reply is that it is accepted; the answer follows
     /// as [`Effect::Answer`].
     Open(Provisional<()>),
-    /// The job is finished, with this answer.
-    Finished(Provisional<Answer>),
+    /// The job is finished, and its answer is being written. It follows as [`Effect::Answer`].
+    Ending,
+    /// The job is finished, with this answer, which is durable.
+    Finished(Answer),
     /// The key belongs to a job with a different payload.
     Conflict(Provisional<()>),
     /// A capacity limit is reached, the disk is full, or too many bytes of records are not durable yet.
--- a/crates/server/src/net/durable/clients.rs
+++ b/crates/server/src/net/durable/clients.rs
@@ -122,14 +122,11 @@
             let respond = |()| accepted_response(id);
             confirmed_response(net, durable, id, limits, accepted, respond).await
         }
-        Submitted::Open(_) => {
+        Submitted::Open(_) | Submitted::Ending => {
             durable.process_output(net);
             await_answer(net, durable, id, limits).await
         }
-        Submitted::Finished(answer) => {
-            let respond = |answer| answer_response(settings, answer);
-            confirmed_response(net, durable, id, limits, answer, respond).await
-        }
+        Submitted::Finished(answer) => answer_response(settings, answer),
         Submitted::Conflict(conflict) => {
             net.counters.clients.bad_requests.increment();
             let respond = |()| conflict_response();
