Wait for a job's answer only while there is one to come

For a finished job that entry of the waiters was never removed: each job that was ever queried kept one.

No test counts the waiters.

--- a/crates/server/src/net/durable/clients.rs
+++ b/crates/server/src/net/durable/clients.rs
@@ -269,19 +269,24 @@
         let Some(status) = durable.jobs.borrow().status(id) else {
             return not_found();
         };
-        // Registered before the status is confirmed, so that an answer that becomes durable meanwhile is noticed.
-        let answer = durable.answer_receiver(id);
-        let limits = WaitLimits::for_sync(net);
-        let status = within(net, durable, limits, durable.confirmed(status)).await;
-        let Some(status) = status else {
-            return undecided_response(id);
+        let confirmed = durable.jobs.borrow().confirm(status);
+        let status = match confirmed {
+            Ok(status) => status,
+            Err(unconfirmed) => {
+                let limits = WaitLimits::for_sync(net);
+                let sync = durable.confirmed(unconfirmed);
+                if within(net, durable, limits, sync).await.is_none() {
+                    return undecided_response(id);
+                }
+                continue; // the status may have changed meanwhile
+            }
         };
         if status.answer.is_some() || Instant::now() >= end || net.shutdown.is_closing() {
             return status_response(&net.config.settings, id, &status);
         }
         tokio::select! {
             biased;
-            _ = timeout_at(end, answer) => {}
+            _ = timeout_at(end, durable.answer_receiver(id)) => {}
             _ = closing.wait_for(|closing| *closing) => {}
         }
     }
