--- a/crates/jobs/src/machine/ends.rs
+++ b/crates/jobs/src/machine/ends.rs
@@ -237,8 +237,8 @@
         self.record_outcome(id, outcome);
     }
 
-    /// Writes the outcome of a finished job's indeterminate attempts, as far as it is known. Returns the number of the last record, for
-    /// which replies about the job wait.
+    /// Writes the outcome of a finished job's indeterminate attempts, as far as it is known. Returns the number of the
+    /// last record, for which replies about the job wait.
     pub(super) fn record_outcome(&mut self, id: JobId, outcome: Option<Outcome>) -> u64 {
         self.counts.settled += 1;
         if let Some(job) = self.jobs.get_mut(&id) {
--- a/crates/jobs/src/machine/job.rs
+++ b/crates/jobs/src/machine/job.rs
@@ -142,11 +142,11 @@
     pub(super) outcome: Option<Outcome>,
     /// Number of the oldest record that the job still needs.
     pub(super) record_number: u64,
-    /// Number of the record that must be durable before others get to know of the job's state: of its acceptance, or
-    /// of its last settlement.
-    pub(super) status_record: u64,
     /// Time at which that record was written.
     pub(super) written_at: Micros,
+    /// Number of the record that must be durable before the job's status is reported: of its acceptance, or of its
+    /// last settlement.
+    pub(super) status_record: u64,
     /// Time at which the job is processed next; `Micros::MAX` if no time is set.
     pub(super) due: Micros,
     /// Bytes accounted for the payload or the answer.
@@ -180,11 +180,14 @@
 
     /// Returns whether an attempt may have been sent to a worker, by this process or an earlier one.
     pub(super) fn may_have_been_sent(&self) -> bool {
-        let is_unsent = |attempt: &Attempt| {
-            let awaits_lease = attempt.state == AttemptState::InFlight && !attempt.dispatched;
-            awaits_lease || !attempt.may_have_run()
+        let may_have_been_sent = |attempt: &Attempt| {
+            if attempt.is_open() {
+                attempt.was_sent()
+            } else {
+                attempt.may_have_run()
+            }
         };
-        !self.attempts.iter().all(is_unsent)
+        self.attempts.iter().any(may_have_been_sent)
     }
 
     /// Returns the job's handle at the facade while it is scheduled.
@@ -245,8 +248,8 @@
             attempts: Vec::new(),
             outcome: None,
             record_number,
-            status_record: record_number,
             written_at,
+            status_record: record_number,
             due: Micros::MAX,
             bytes,
         }
--- a/crates/jobs/src/machine/reply.rs
+++ b/crates/jobs/src/machine/reply.rs
@@ -3,7 +3,7 @@
 use super::Jobs;
 
 /// A reply whose record may not be durable yet. Only [`Jobs::confirm`] gives access to it, so that no client or
-/// operator gets a reply that the next process would not stand by.
+/// operator gets a reply that a later process contradicts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[must_use = "a reply is given once it is confirmed"]
 pub struct Provisional<T> {
--- a/crates/jobs/src/machine/restore.rs
+++ b/crates/jobs/src/machine/restore.rs
@@ -134,7 +134,9 @@
     /// Applies one record. Returns its logical time, or 0 if it has none.
     fn replay(&mut self, number: u64, mut record: Record, writer: &mut Writer) -> Micros {
         if !writer.records_lease_fields {
-            record.forget_whether_fields_were_sent();
+            for lease in record.leases_mut() {
+                lease.forget_whether_fields_were_sent();
+            }
         }
         match record {
             LEASE_FIELDS_RECORDED => {
--- a/crates/jobs/src/machine/store.rs
+++ b/crates/jobs/src/machine/store.rs
@@ -164,7 +164,10 @@
         let trim_to = self.trim_point(oldest_needed);
         if trim_to > self.trimmed_to + TRIM_STEP {
             self.trimmed_to = trim_to;
-            self.opened_records.retain(|number| *number >= trim_to);
+            let trimmed = self
+                .opened_records
+                .partition_point(|opened| *opened < trim_to);
+            self.opened_records.drain(..trimmed);
             self.after_sync(Pending::Effect(Effect::Trim(trim_to)));
         }
     }
@@ -172,12 +175,11 @@
     /// Returns the number of the first record that the log must keep: the oldest one that a job needs, or the
     /// [`Record::Opened`] before it, which shows what its leases say.
     fn trim_point(&self, oldest_needed: u64) -> u64 {
-        self.opened_records
-            .iter()
-            .rev()
-            .copied()
-            .find(|opened| *opened <= oldest_needed)
-            .unwrap_or(oldest_needed)
+        let next = self
+            .opened_records
+            .partition_point(|opened| *opened <= oldest_needed);
+        next.checked_sub(1)
+            .map_or(oldest_needed, |index| self.opened_records[index])
     }
 
     /// Returns a job whose record is old enough to be written again.
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -272,16 +272,13 @@
 }
 
 impl Record {
-    /// Notes that it is not known which attempts carried the fields of their leases.
-    pub(crate) fn forget_whether_fields_were_sent(&mut self) {
-        let leases = match self {
-            Record::Accepted { leases, .. } => leases.as_mut_slice(),
+    /// Returns the leases in the record.
+    pub fn leases_mut(&mut self) -> &mut [Lease] {
+        match self {
+            Record::Accepted { leases, .. } => leases,
             Record::Leased { lease, .. } => std::slice::from_mut(lease),
-            Record::Finished { indeterminate, .. } => indeterminate.as_mut_slice(),
+            Record::Finished { indeterminate, .. } => indeterminate,
             Record::Opened { .. } | Record::Unsent { .. } | Record::Dropped { .. } => &mut [],
-        };
-        for lease in leases {
-            lease.forget_whether_fields_were_sent();
         }
     }
 
--- a/crates/jobs/tests/settled.rs
+++ b/crates/jobs/tests/settled.rs
@@ -52,11 +52,14 @@
     );
     let settled = jobs.settle(NOW, id, Outcome::Ran);
     assert!(
-        jobs.confirm(settled).is_err(),
+        jobs.confirm(settled.clone()).is_err(),
         "the settlement's record is not synced yet"
     );
     assert_eq!(
         submit(&mut jobs, &mut facade),
         Submitted::Finished(Answer::Failed)
     );
+    let (first, records) = jobs.records();
+    jobs.on_synced(NOW, first + records.len() as u64 - 1, &mut facade);
+    assert_eq!(jobs.confirm(settled), Ok(true));
 }
--- a/crates/jobs/tests/world/invariants.rs
+++ b/crates/jobs/tests/world/invariants.rs
@@ -90,7 +90,7 @@
         self.clients[n].done = true;
     }
 
-    /// Checks that the scheduler has the result of a job of which a worker is told that it may drop it.
+    /// Checks that the scheduler has stored the result that a worker is notified to drop.
     pub(super) fn check_result_is_stored(&self, id: JobId) -> Result<(), String> {
         let status = self.scheduler.as_ref().and_then(|scheduler| {
             let status = scheduler.jobs.status(id)?;
--- a/crates/jobs/tests/world/older_build.rs
+++ b/crates/jobs/tests/world/older_build.rs
@@ -1,6 +1,6 @@
 //! The log of a scheduler process of a build that does not record which attempts carried the lease's fields.
 
-use oakshed_jobs::record::{JobId, Lease, Record, LEASE_FIELDS_RECORDED, WITHOUT_FIELDS_START};
+use oakshed_jobs::record::{JobId, Record, LEASE_FIELDS_RECORDED, WITHOUT_FIELDS_START};
 
 /// Changes records to what such a build writes. `start_ms` is the start time of the workers in the list.
 pub(super) fn rewrite(records: &mut [Record], start_ms: u64) {
@@ -12,19 +12,10 @@
                 token: 0,
             };
         }
-        for lease in leases_mut(record) {
+        for lease in record.leases_mut() {
             if lease.start_ms == WITHOUT_FIELDS_START {
                 lease.start_ms = start_ms;
             }
         }
     }
 }
-
-fn leases_mut(record: &mut Record) -> &mut [Lease] {
-    match record {
-        Record::Accepted { leases, .. } => leases,
-        Record::Leased { lease, .. } => std::slice::from_mut(lease),
-        Record::Finished { indeterminate, .. } => indeterminate,
-        _ => &mut [],
-    }
-}
--- a/crates/jobs/tests/world/replies.rs
+++ b/crates/jobs/tests/world/replies.rs
@@ -16,7 +16,7 @@
 pub(super) enum PendingReply {
     /// Whether a client's job is accepted.
     Accepted(Waiting, Provisional<()>),
-    /// What came of a client's cancellation.
+    /// The outcome of a client's cancellation.
     Cancellation(JobId, Provisional<Cancellation>),
     /// The status that a client polls.
     Status(Waiting, Provisional<JobStatus>),
--- a/crates/server/src/net/durable/clients.rs
+++ b/crates/server/src/net/durable/clients.rs
@@ -102,13 +102,14 @@
         let mut jobs = durable.jobs.borrow_mut();
         jobs.submit(now, id, payload, remaining, options.detached, facade)
     };
+    durable.process_output(net);
     let limits = WaitLimits::new(net, now, forwarded.deadline);
     respond_to_submission(net, durable, id, options.detached, limits, submitted).await
 }
 
 /// Returns the response to a submission, once the record behind it is durable.
 async fn respond_to_submission(
-    net: &Rc<Net>,
+    net: &Net,
     durable: &DurableJobs,
     id: JobId,
     detached: bool,
@@ -118,14 +119,10 @@
     let settings = &net.config.settings;
     match submitted {
         Submitted::Open(accepted) if detached => {
-            durable.process_output(net);
             let respond = |()| accepted_response(id);
             confirmed_response(net, durable, id, limits, accepted, respond).await
         }
-        Submitted::Open(_) | Submitted::Ending => {
-            durable.process_output(net);
-            await_answer(net, durable, id, limits).await
-        }
+        Submitted::Open(_) | Submitted::Ending => await_answer(net, durable, id, limits).await,
         Submitted::Finished(answer) => answer_response(settings, answer),
         Submitted::Conflict(conflict) => {
             net.counters.clients.bad_requests.increment();
--- a/crates/server/src/net/durable/mod.rs
+++ b/crates/server/src/net/durable/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! This file opens the store, appends the machine's records to it and performs the machine's effects. `run` drives the
 //! machine, `observer` reports attempts and endpoint lists to it, `fence` asks workers about leases, and `clients`
-//! serves the clients' requests, which wait in `wait`. All decisions are the machine's; an effect is performed only after the machine has
-//! returned it. Nothing here depends on `front`.
+//! serves the clients' requests, which wait in `wait`. All decisions are the machine's; an effect is performed only
+//! after the machine has returned it. Nothing here depends on `front`.
 
 mod clients;
 mod error;
@@ -274,18 +274,19 @@
         let net = net.clone();
         tokio::task::spawn_local(async move {
             let mut reply = None;
-            let address = net.workers.exclusive_address(&worker);
+            let mut is_from_worker = false;
             if has_capacity {
+                let address = net.workers.exclusive_address(&worker);
                 let call = fence(&net, &worker, id, token);
                 reply = timeout(FENCE_TIMEOUT, call).await.ok().flatten();
+                is_from_worker =
+                    address.is_some() && address == net.workers.exclusive_address(&worker);
             }
             let Some(durable) = &net.durable else { return };
             durable
                 .fences_in_progress
                 .set(durable.fences_in_progress.get() - calls);
-            let is_address_current =
-                address.is_some() && address == net.workers.exclusive_address(&worker);
-            let confirmed = confirmed && is_address_current;
+            let confirmed = confirmed && is_from_worker;
             let facade = &mut net.facade.borrow_mut();
             let mut jobs = durable.jobs.borrow_mut();
             jobs.on_fence_reply(net.clock.now(), id, token, reply, confirmed, facade);
--- a/crates/server/src/net/durable/run.rs
+++ b/crates/server/src/net/durable/run.rs
@@ -1,6 +1,7 @@
 //! Drives the state machine of durable jobs: its timer, the events of the store, and periodic maintenance.
 
 use std::future::{poll_fn, Future};
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -9,6 +10,7 @@
 use oakshed_jobs::disk::{self, Settlement};
 use oakshed_jobs::group_commit::StoreEvent;
 use oakshed_jobs::machine::Provisional;
+use rustc_hash::FxHashMap;
 use tokio::time::Sleep;
 use tracing::{info, warn};
 
@@ -101,24 +103,24 @@
     }
 }
 
-/// A settlement that was applied, and whether there was anything to settle.
-type AppliedSettlement = (Settlement, Provisional<bool>);
+/// The settlements that were applied, by their files, and whether there was anything to settle.
+type AppliedSettlements = FxHashMap<PathBuf, (Settlement, Provisional<bool>)>;
 
 /// Applies the settlements that operators have left. The file of each is removed, and the settlement logged, only once it
 /// is durable.
-fn apply_settlements(net: &Net, durable: &DurableJobs, unconfirmed: &mut Vec<AppliedSettlement>) {
+fn apply_settlements(net: &Net, durable: &DurableJobs, unconfirmed: &mut AppliedSettlements) {
     let mut jobs = durable.jobs.borrow_mut();
     for settlement in disk::settlements(&durable.dir) {
-        if unconfirmed.iter().any(|(known, _)| *known == settlement) {
+        if unconfirmed.contains_key(&settlement.path) {
             continue;
         }
         let settled = jobs.settle(net.clock.now(), settlement.id, settlement.outcome);
-        unconfirmed.push((settlement, settled));
+        unconfirmed.insert(settlement.path.clone(), (settlement, settled));
     }
-    for (settlement, settled) in std::mem::take(unconfirmed) {
+    for (path, (settlement, settled)) in std::mem::take(unconfirmed) {
         match jobs.confirm(settled) {
             Ok(settled) => finish_settlement(&settlement, settled),
-            Err(settled) => unconfirmed.push((settlement, settled)),
+            Err(settled) => _ = unconfirmed.insert(path, (settlement, settled)),
         }
     }
 }
@@ -136,7 +138,7 @@
 /// directory, and notifies workers of the results that are safe.
 async fn maintain(net: Rc<Net>) {
     let Some(durable) = &net.durable else { return };
-    let mut unconfirmed_settlements = Vec::new();
+    let mut unconfirmed_settlements = AppliedSettlements::default();
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         if durable.disk_full.get() {
--- a/crates/server/tests/durable_fences.rs
+++ b/crates/server/tests/durable_fences.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Plays the scenario. `list_other` is called once the other worker runs at the address of the first one.
+/// Runs the scenario. `list_other` is called once the other worker runs at the address of the first one.
 fn fence_reaches_another_worker(name: &str, list_other: impl FnOnce(&Discovery)) {
     let dir = TestDir::new(name);
     let port = ReservedPort::new();
--- a/crates/server/tests/durable_replies.rs
+++ b/crates/server/tests/durable_replies.rs
@@ -59,6 +59,14 @@
         until("no ready worker", || program.ready_status() == 503);
     }
 
+    /// Starts the scheduler, and has it accept a job that stays in the queue.
+    fn start_with_queued_job(&self) -> Program {
+        let program = self.start();
+        self.drain_worker(&program);
+        assert_eq!(program.send(&detached_request("k-1")).status(), 202);
+        program
+    }
+
     fn begin_outage(&self) {
         self.faults.switch(SYNC, Switch::On);
     }
@@ -88,9 +96,7 @@
 #[test]
 fn withdrawal_is_confirmed_only_once_it_is_durable() {
     let installation = Installation::new("withdrawal");
-    let mut program = installation.start();
-    installation.drain_worker(&program);
-    assert_eq!(program.send(&detached_request("k-1")).status(), 202);
+    let mut program = installation.start_with_queued_job();
     installation.begin_outage();
     let unconfirmed = program.send(&job_path_request("DELETE", "k-1"));
     assert_eq!(unconfirmed.status(), 504, "{}", unconfirmed.first);
@@ -171,9 +177,7 @@
 #[test]
 fn waiting_status_query_is_answered_at_shutdown() {
     let installation = Installation::new("query");
-    let mut program = installation.start();
-    installation.drain_worker(&program);
-    assert_eq!(program.send(&detached_request("k-1")).status(), 202);
+    let mut program = installation.start_with_queued_job();
     let query = job_path_request("GET", "k-1").replace("Host", "Prefer: wait=10\r\nHost");
     std::thread::scope(|scope| {
         let query = scope.spawn(|| send_raw(program.address, &query));
