Send nothing by a pushed list until the agent has answered the start

Cause: the first failed or overdue call to the agent let the cached list in unconfirmed (failures_until_fallback). What the agent has counts as notified from the first moment of a process, whether or not it can be called.

Evidence: the first late job comes 3.07 s after the start, which is the time of the first overdue call, and the log has 'endpoint list 3 (cached)' then.

Change: net/discovery/confirmation.rs has one state for whether a list may be acted on; for an agent only an answer ends the wait. The core rejects what it cannot send meanwhile (ListKind::Unconfirmed), from 0.3 s after the start on. A start is ready within 5 s (polled lists: 9 s) in any case. A silent agent is called every 0.4 s beside the first call, to serve soon after it answers.

A check was wrong: cached_list_is_used_at_start_if_discovery_fails wanted a pushed list to be used after one failure, which is the fault. Its two pushed cases are in unresponsive_agent.rs with the opposite outcome, and five answers more.

--- a/crates/core/src/interface/mod.rs
+++ b/crates/core/src/interface/mod.rs
@@ -92,6 +92,9 @@
     Snapshot,
     /// The complete list as cached before a restart.
     Cached,
+    /// The complete list, which may no longer be acted on until discovery has confirmed it. Its workers stay known, and
+    /// requests that could only be sent to them are rejected.
+    Unconfirmed,
     /// No rows: a call to discovery failed or the subscription broke.
     Failed,
     /// No rows: a call failed after waiting for its turn, because discovery receives more calls than it can
--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -116,15 +116,33 @@
     pub(super) fn reject_expired(&mut self) {
         for tier in self.queues.tiers() {
             while let Some(expired) = self.queues.first_expired(tier, self.now) {
-                self.dequeue(expired.id);
-                let request = self.requests.get(&expired.id);
-                if request.is_some_and(|request| request.open == 0) {
-                    self.end(expired.id);
-                }
+                self.give_up(expired.id);
+            }
+        }
+    }
+
+    /// Rejects all queued requests while no worker may be used until the endpoint list is confirmed: how long that
+    /// takes is unknown, and elsewhere they may be served.
+    pub(super) fn reject_undispatchable(&mut self) {
+        if !self.awaits_confirmation {
+            return;
+        }
+        for tier in self.queues.tiers() {
+            while let Some(queued) = self.queues.first_from(tier, QueuedRequest::FIRST) {
+                self.give_up(queued.id);
             }
         }
     }
 
+    /// Removes a request from its queue, and answers it unless an attempt is in flight.
+    fn give_up(&mut self, id: RequestId) {
+        self.dequeue(id);
+        let request = self.requests.get(&id);
+        if request.is_some_and(|request| request.open == 0) {
+            self.end(id);
+        }
+    }
+
     /// Sends the final answer to a request that was not served: a rejection if a repeat by the
     /// client is harmless, otherwise a failure.
     pub(super) fn end(&mut self, id: RequestId) {
--- a/crates/core/src/scheduler/discovery_polling.rs
+++ b/crates/core/src/scheduler/discovery_polling.rs
@@ -115,9 +115,14 @@
         match kind {
             ListKind::Failed => return self.on_poll_failure(),
             ListKind::Overloaded => return self.on_discovery_overloaded(),
-            ListKind::Snapshot | ListKind::Delta | ListKind::Cached => {}
+            ListKind::Snapshot | ListKind::Cached => self.awaits_confirmation = false,
+            ListKind::Unconfirmed => self.awaits_confirmation = true,
+            // A list update from a peer, too, which confirms nothing.
+            ListKind::Delta => {}
+        }
+        if kind != ListKind::Unconfirmed {
+            self.discovery_polling.on_success();
         }
-        self.discovery_polling.on_success();
         if kind != ListKind::Delta {
             for worker in self.workers.iter_mut() {
                 worker.listing.is_listed = false;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -99,6 +99,8 @@
 
     /// Other live processes of this scheduler, as during a hot restart.
     pub(crate) other_processes: usize,
+    /// No worker may be used until discovery has confirmed the endpoint list.
+    awaits_confirmation: bool,
     discovery_polling: DiscoveryPolling,
 }
 
@@ -201,6 +203,7 @@
         self.rescale_pools();
         self.requeue_backed_off();
         self.reject_expired();
+        self.reject_undispatchable();
         self.dispatch_queued();
         self.poll_discovery();
         self.set_timer();
--- a/crates/core/src/state/list.rs
+++ b/crates/core/src/state/list.rs
@@ -73,7 +73,8 @@
             }
         }
         let has_listed = self.workers.iter().any(|worker| worker.listing.is_listed);
-        if kind != ListKind::Cached && has_listed {
+        let is_from_discovery = matches!(kind, ListKind::Snapshot | ListKind::Delta);
+        if is_from_discovery && has_listed {
             self.start_times.observe_list(self.now);
         }
     }
--- /dev/null
+++ b/crates/server/src/net/discovery/confirmation.rs
@@ -0,0 +1,136 @@
+//! Decides whether the endpoint list may be acted on while its source has not answered.
+//!
+//! A list is acted on only if its source has confirmed it, or if nothing that the source has counts as notified.
+//! `docs/design.md` ('What confirms an endpoint list') has each case with the rule that allows it. There is no I/O here,
+//! and time is passed in.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How long requests that arrive at a start wait for the first answer of the source, beyond the jitter of the first
+/// call. They are rejected from then on until the list is confirmed.
+const FIRST_ANSWER_ALLOWANCE: Duration = Duration::from_millis(300);
+/// How long a start reports that it is not ready while an agent does not answer. Nine in ten restarted schedulers must be
+/// ready within 6 s, and every start within 30 s.
+const AGENT_READY_LIMIT: Duration = Duration::from_secs(5);
+/// The same for a shared service, whose answers may take the jitter of the first call and a wait in its queue. Nine in ten
+/// restarted schedulers must be ready within 10 s.
+const SHARED_SERVICE_READY_LIMIT: Duration = Duration::from_secs(9);
+/// The number of consecutive failures after which a shared service counts as down.
+const FAILURES_UNTIL_DOWN: u32 = 2;
+
+/// Where the endpoint list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListSource {
+    /// An agent on this machine, to which updates are pushed. All that it has counts as notified.
+    Agent,
+    /// A service that all schedulers poll. What it has counts as notified only if it can be reached.
+    SharedService,
+}
+
+/// What a call without a usable answer shows about the source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Evidence {
+    /// No connection could be established.
+    Unreachable,
+    /// The source can be reached, but gave no usable answer.
+    NoAnswer,
+}
+
+/// What has to change in the rest of the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub(super) enum Change {
+    None,
+    /// The cached list is used from now on.
+    UseCached,
+    /// Nothing is sent, and requests are rejected, until the source answers.
+    Suspend,
+}
+
+/// Whether the endpoint list may be acted on.
+#[derive(Debug)]
+pub(crate) struct Confirmation {
+    source: ListSource,
+    started_at: Instant,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The source has not answered since the start, and no list is used.
+    Awaiting {
+        failures: u32,
+        /// Until when requests wait for the first answer; `None` once they are rejected.
+        hold_until: Option<Instant>,
+    },
+    /// A list is used.
+    InUse,
+}
+
+impl Confirmation {
+    /// Creates the state of a start. Requests wait for the first answer for `first_call_jitter` and an allowance.
+    pub(super) fn new(source: ListSource, now: Instant, first_call_jitter: Duration) -> Self {
+        Confirmation {
+            source,
+            started_at: now,
+            state: State::Awaiting {
+                failures: 0,
+                hold_until: Some(now + first_call_jitter + FIRST_ANSWER_ALLOWANCE),
+            },
+        }
+    }
+
+    /// Records that a list is used, because the source has answered or because it was inherited. Returns whether none was
+    /// used before.
+    pub(super) fn confirm(&mut self) -> bool {
+        std::mem::replace(&mut self.state, State::InUse) != State::InUse
+    }
+
+    /// Processes a failed or overdue call.
+    pub(super) fn on_failure(&mut self, evidence: Evidence) -> Change {
+        let State::Awaiting { failures, .. } = &mut self.state else {
+            return Change::None;
+        };
+        // What an agent has counts as notified, whether or not it can be called.
+        if self.source == ListSource::Agent {
+            return Change::None;
+        }
+        *failures = match evidence {
+            Evidence::Unreachable => FAILURES_UNTIL_DOWN,
+            Evidence::NoAnswer => *failures + 1,
+        };
+        if *failures < FAILURES_UNTIL_DOWN {
+            return Change::None;
+        }
+        self.state = State::InUse;
+        Change::UseCached
+    }
+
+    /// When `on_timer` is due.
+    pub(super) fn due_at(&self) -> Option<Instant> {
+        match self.state {
+            State::Awaiting { hold_until, .. } => hold_until,
+            State::InUse => None,
+        }
+    }
+
+    /// Processes the end of the time returned by `due_at`.
+    pub(super) fn on_timer(&mut self) -> Change {
+        let State::Awaiting { hold_until, .. } = &mut self.state else {
+            return Change::None;
+        };
+        *hold_until = None;
+        Change::Suspend
+    }
+
+    /// Whether the start has waited so long for its source that it reports itself ready, although it rejects requests.
+    pub(super) fn has_reached_ready_limit(&self, now: Instant) -> bool {
+        let limit = match self.source {
+            ListSource::Agent => AGENT_READY_LIMIT,
+            ListSource::SharedService => SHARED_SERVICE_READY_LIMIT,
+        };
+        matches!(self.state, State::Awaiting { .. }) && now >= self.started_at + limit
+    }
+}
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! A malformed list is rejected as a whole. The facade decides when a watch is opened and `watch` how long its calls
 //! may take; up to three connections to discovery are open while a watch is overdue.
 
+mod confirmation;
 mod error;
 mod state;
 mod watch;
@@ -12,6 +13,7 @@
 mod tests;
 
 use std::cell::Cell;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +21,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header::HOST, Request, StatusCode};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 use tracing::{info, warn};
 
 use super::collect_body::collect_body;
 use super::workers::Connection;
 use super::{durable, peers, Net};
-use crate::list::{Answer, EndpointList, UpdateKind};
+use crate::list::{Answer, EndpointList, Instance, UpdateKind};
+use confirmation::{Change, Evidence};
 use error::CallError;
 use oakshed_core::facade::{Condition, Entry, ListKind, Micros, Observation};
 pub(crate) use state::DiscoveryState;
@@ -44,26 +47,13 @@
 /// the list is polled, because the predecessor polled discovery itself.
 pub(crate) fn load_cached_list(net: &Rc<Net>, inherited: bool) {
     if inherited && net.config.settings.list_on_request {
+        net.discovery.confirmation.borrow_mut().confirm();
         return apply_cached_list(net);
     }
     let Some(cached) = &net.config.cached_list else {
         return;
     };
-    let mut entries: Vec<Entry> = cached
-        .instances
-        .iter()
-        .map(|i| i.entry(&net.config.names))
-        .collect();
-    for entry in &mut entries {
-        entry.condition = Condition::Leaving;
-    }
-    net.workers.update(
-        UpdateKind::Snapshot,
-        entries
-            .iter()
-            .zip(cached.instances.iter().map(|i| i.host_port)),
-    );
-    net.report_list(ListKind::Cached, &entries);
+    let entries = enter_as_leaving(net, cached, ListKind::Cached);
     durable::on_list(net, &entries, ListKind::Cached);
     let number = cached.generation;
     info!(
@@ -73,6 +63,38 @@
     );
 }
 
+/// Enters the workers of a list as leaving, so that nothing is sent to them, and returns their entries.
+fn enter_as_leaving(net: &Net, list: &Answer, kind: ListKind) -> Vec<Entry> {
+    let leaving = |instance: &Instance| Entry {
+        condition: Condition::Leaving,
+        ..instance.entry(&net.config.names)
+    };
+    let entries: Vec<Entry> = list.instances.iter().map(leaving).collect();
+    let addresses = list.instances.iter().map(|i| i.host_port);
+    net.workers
+        .update(UpdateKind::Snapshot, entries.iter().zip(addresses));
+    net.report_list(kind, &entries);
+    entries
+}
+
+/// Sends nothing more, and rejects requests, until discovery answers.
+fn suspend_list(net: &Net) {
+    let in_use = net.discovery.endpoint_list.borrow().snapshot();
+    let list = in_use.or_else(|| net.config.cached_list.clone());
+    let list = list.unwrap_or_else(|| EndpointList::default().to_answer());
+    enter_as_leaving(net, &list, ListKind::Unconfirmed);
+    warn!("discovery has not confirmed the endpoint list; rejecting requests until it does");
+}
+
+/// Carries out what follows from the state of the confirmation.
+fn carry_out(net: &Rc<Net>, change: Change) {
+    match change {
+        Change::None => {}
+        Change::UseCached => apply_cached_list(net),
+        Change::Suspend => suspend_list(net),
+    }
+}
+
 /// Serves from the cached list, where there is one.
 fn apply_cached_list(net: &Rc<Net>) {
     if let Some(cached) = &net.config.cached_list {
@@ -122,12 +144,12 @@
         ListKind::Snapshot => "snapshot",
         ListKind::Delta => "delta",
         ListKind::Cached => "cached",
-        ListKind::Failed | ListKind::Overloaded => "none",
+        ListKind::Unconfirmed | ListKind::Failed | ListKind::Overloaded => "none",
     }
 }
 
 /// Watches the endpoint list for as long as the process runs, and follows discovery to a new address.
-pub(crate) async fn run(net: Rc<Net>, inherited: bool) {
+pub(crate) async fn run(net: Rc<Net>) {
     let settings = &net.config.settings;
     // With a pushed list the facade never requests the first poll, so the first call is made at once and asks for
     // the whole list.
@@ -139,25 +161,22 @@
         .filter(|_| !pushed)
         .map(|cached| cached.generation);
     let mut at_once = pushed;
-    let failures_left = Cell::new(failures_until_fallback(pushed, inherited));
     let mut address_updates = net.discovery.address.subscribe();
     loop {
         let address = *address_updates.borrow_and_update();
         let seed = net.config.seed ^ net.clock.now();
-        let failing = Cell::new(false);
-        let unreachable = Cell::new(false);
         let discovery = DiscoveryClient {
             net: &net,
             address,
-            failures_left: &failures_left,
-            unreachable,
-            failing,
+            unreachable: Cell::new(false),
+            failing: Cell::new(false),
         };
         // A watch on the old address ends at once, even during a call: that service may stop at any moment, and its
         // updates are stale.
         tokio::select! {
             _ = address_updates.changed() => {}
             () = Watch::new(&discovery, settings, seed).run(&mut generation, at_once) => {}
+            () = limit_unconfirmed_use(&net) => {}
         }
         // The service at the new address may number its lists differently, so the whole list is requested, and at
         // once.
@@ -166,28 +185,21 @@
     }
 }
 
-/// The number of consecutive failures after which the cached list is used without confirmation.
-///
-/// A list is pushed by an agent on the same machine, which has no queue: one failure shows that it is down. A shared
-/// discovery service may only be busy, and then any update it has counts as notified: two failures are needed there.
-/// A connection that cannot be established is conclusive by itself, see `DiscoveryClient::count_failure`. An inherited
-/// list is already in use.
-fn failures_until_fallback(pushed: bool, inherited: bool) -> u32 {
-    if pushed {
-        1
-    } else if inherited {
-        0
-    } else {
-        2
+/// Ends what is allowed without a confirmation of the list, once its time is up. Does not return.
+async fn limit_unconfirmed_use(net: &Rc<Net>) {
+    let due_at = net.discovery.confirmation.borrow().due_at();
+    if let Some(at) = due_at {
+        sleep_until(at).await;
+        let change = net.discovery.confirmation.borrow_mut().on_timer();
+        carry_out(net, change);
     }
+    pending::<()>().await;
 }
 
 /// A client of discovery at one address.
 struct DiscoveryClient<'a> {
     net: &'a Rc<Net>,
     address: SocketAddr,
-    /// How many more failures there may be before the cached list is used; 0 once a list is in use.
-    failures_left: &'a Cell<u32>,
     /// The last attempt to connect has failed.
     unreachable: Cell<bool>,
     /// The last call has failed.
@@ -254,7 +266,8 @@
 
     fn on_answer(&self, answer: &Answer) {
         self.failing.set(false);
-        if self.failures_left.replace(0) > 0 && !answer.reset {
+        let is_first = self.net.discovery.confirmation.borrow_mut().confirm();
+        if is_first && !answer.reset {
             // A delta confirms the other entries of the cached list. Both are applied as one list: in two steps,
             // requests could be sent to workers that the delta removes.
             let mut list = EndpointList::default();
@@ -274,11 +287,16 @@
 
     fn on_overdue(&self) {
         self.net.counters.discovery.unresponsive_watches.increment();
-        self.count_failure(false);
+        self.count_failure(Evidence::NoAnswer);
     }
 
     fn on_failure(&self, error: &CallError, overloaded: bool) {
-        self.count_failure(self.unreachable.get());
+        let evidence = if self.unreachable.get() {
+            Evidence::Unreachable
+        } else {
+            Evidence::NoAnswer
+        };
+        self.count_failure(evidence);
         self.net.counters.discovery.failures.increment();
         // Logs the first of consecutive failures only: with a pushed list, discovery that is down is called many
         // times a second.
@@ -295,17 +313,14 @@
 }
 
 impl DiscoveryClient<'_> {
-    /// Counts a failure, and uses the cached list from the last one allowed or a conclusive one on.
-    fn count_failure(&self, is_conclusive: bool) {
-        let before = self.failures_left.get();
-        let left = if is_conclusive {
-            0
-        } else {
-            before.saturating_sub(1)
-        };
-        self.failures_left.set(left);
-        if before > 0 && left == 0 {
-            apply_cached_list(self.net);
-        }
+    /// Processes a failed or overdue call, after which the cached list may have to be used.
+    fn count_failure(&self, evidence: Evidence) {
+        let change = self
+            .net
+            .discovery
+            .confirmation
+            .borrow_mut()
+            .on_failure(evidence);
+        carry_out(self.net, change);
     }
 }
--- a/crates/server/src/net/discovery/watch.rs
+++ b/crates/server/src/net/discovery/watch.rs
@@ -32,6 +32,8 @@
 /// The pause after an immediate answer without an update: half the time within which discovery expects the next call of
 /// a watch. Also the hold of a new watch's first call, so that a lack of answer is detected early.
 const REPOLL_PAUSE: Duration = Duration::from_millis(100);
+/// The interval between calls to an agent that does not answer.
+const AGENT_CALL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The interface to discovery and to the scheduler's list, which the tests replace.
 pub(super) trait Discovery {
@@ -143,6 +145,30 @@
         }
     }
 
+    /// Requests the whole list from an agent on this machine, which answers at once if it is up.
+    ///
+    /// It may never answer a call that it received while it was silent, so the call is repeated at intervals. The first
+    /// one stays open beside the others, for an agent that is slow.
+    async fn request_list_from_agent(&mut self) -> Result<Answer, Failure> {
+        let discovery = self.discovery;
+        let first = classify_failure(discovery.call(self.connection.take(), None, Duration::ZERO));
+        let repeated = async {
+            sleep(AGENT_CALL_INTERVAL).await;
+            discovery.on_overdue();
+            repeat_until_answered(discovery).await
+        };
+        let answered = async {
+            tokio::select! {
+                answer = first => answer,
+                answer = repeated => Ok(answer),
+            }
+        };
+        let outcome = timeout(NOTIFICATION_DEADLINE.as_duration(), answered).await;
+        let (answer, connection) = outcome.unwrap_or(Err(Failure::TIMEOUT))?;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+
     /// The time after which the call of an established watch is overdue.
     ///
     /// Discovery serves calls one after another, so the delay allowed grows with the number of schedulers and with the
@@ -162,6 +188,9 @@
     /// An overdue call is not reported as a failure, because the facade backs off after one. Nor is it cancelled,
     /// because it may only be queued at discovery and would lose its place.
     async fn poll(&mut self, from: Option<u64>, is_new: bool) -> Result<Answer, Failure> {
+        if from.is_none() && !self.settings.list_on_request {
+            return self.request_list_from_agent().await;
+        }
         let quarter = self
             .settings
             .poll_quarter()
@@ -210,6 +239,18 @@
     }
 }
 
+/// Makes a call in place of the last one at intervals, until one is answered.
+async fn repeat_until_answered<D: Discovery>(discovery: &D) -> (Answer, D::Connection) {
+    loop {
+        let called_at = Instant::now();
+        let call = discovery.call(None, None, Duration::ZERO);
+        if let Ok(Ok(answer)) = timeout(AGENT_CALL_INTERVAL, call).await {
+            return answer;
+        }
+        sleep_until(called_at + AGENT_CALL_INTERVAL).await;
+    }
+}
+
 /// Makes a call and, if it is rejected, decides by its own waiting time whether discovery is overloaded. Each hedged
 /// call is timed separately: that one is rejected at once shows nothing about an earlier one.
 async fn classify_failure<T>(
--- a/crates/server/src/net/front/handle.rs
+++ b/crates/server/src/net/front/handle.rs
@@ -36,7 +36,7 @@
     let (head, body) = request.into_parts();
     if head.uri.path() == "/ready" {
         return match head.method {
-            Method::GET | Method::HEAD if net.can_serve() => plain_text(StatusCode::OK, "ready\n"),
+            Method::GET | Method::HEAD if net.is_ready() => plain_text(StatusCode::OK, "ready\n"),
             Method::GET | Method::HEAD => {
                 plain_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
             }
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -97,9 +97,12 @@
     ) -> Net {
         Net {
             clock,
-            facade: RefCell::new(facade),
             workers: workers::Workers::new(clock, &config.settings),
-            discovery: discovery::DiscoveryState::new(config.discovery),
+            discovery: discovery::DiscoveryState::new(
+                config.discovery,
+                &config.settings,
+                facade.poll_jitter(),
+            ),
             shutdown: Shutdown::new(clock),
             counters: Counters::default(),
             memory: memory::Memory::new(config.memory, config.settings.classes.len()),
@@ -111,6 +114,7 @@
             exclusions: exclusions::Exclusions::default(),
             durable,
             peers: None,
+            facade: RefCell::new(facade),
             config,
         }
     }
@@ -139,6 +143,12 @@
         self.started.get() && self.workers.any_ready(|name| !facade.is_excluded(name))
     }
 
+    /// Whether clients may be sent here: requests can be served, or a start has waited for the endpoint list for as long
+    /// as it may, and rejects them.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.can_serve() || self.started.get() && self.discovery.has_reached_ready_limit()
+    }
+
     /// The most client connections, by descriptors and by memory.
     pub(crate) fn client_share(&self) -> usize {
         let limit = self.memory.client_connection_limit();
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -64,7 +64,7 @@
         tokio::task::spawn_local(peers::run(net.clone()));
     }
     net.started.set(true);
-    spawn_tasks(&net, signals, resources.inherited_list);
+    spawn_tasks(&net, signals);
     if let Some(admin) = admin {
         let at = retry_at_start(|| admin.local_addr())?;
         info!(%at, "operators' address: listening on {at}");
@@ -169,14 +169,14 @@
 }
 
 /// Spawns the tasks that run until the process exits.
-fn spawn_tasks(net: &Rc<Net>, signals: Signals, inherited_list: bool) {
+fn spawn_tasks(net: &Rc<Net>, signals: Signals) {
     let Signals {
         terminate,
         interrupt,
         hangup,
     } = signals;
     tokio::task::spawn_local(run_timer(net.clone()));
-    tokio::task::spawn_local(discovery::run(net.clone(), inherited_list));
+    tokio::task::spawn_local(discovery::run(net.clone()));
     tokio::task::spawn_local(workers::close_expired_connections(net.clone()));
     tokio::task::spawn_local(log_counters(net.clone()));
     tokio::task::spawn_local(memory::maintain(net.clone()));
--- a/crates/server/tests/sockets/main.rs
+++ b/crates/server/tests/sockets/main.rs
@@ -15,12 +15,14 @@
 mod forwarding;
 mod large;
 mod malformed;
+
 mod stages;
 mod stalled_clients;
 mod start;
 mod starting;
 mod stop;
 mod terms;
+mod unresponsive_agent;
 mod workers;
 
 #[path = "../common/readiness.rs"]
