Let a successor act on the pushed list that its predecessor acts on

Callers saw: a hot restart while the agent was silent. The successor took the listening socket over and rejected what came to it, as a pushed list was always to be confirmed; the predecessor served from the same list.

Cause: load_cached_list used an inherited list at once only where lists are polled.

Change: the message says whether the predecessor acts on its list (list_in_use), and the successor then does too. An older version does not say: its polled list counts as in use, as before, and its pushed one does not, as it may have been let in unconfirmed. Older versions ignore the field.

--- a/crates/server/src/net/discovery/confirmation.rs
+++ b/crates/server/src/net/discovery/confirmation.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Whether a list is acted on.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.state == State::InUse
+    }
+
     /// Records that a list is used, because the source has answered or because it was inherited. Returns whether none was
     /// used before.
     pub(super) fn confirm(&mut self) -> bool {
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -43,10 +43,10 @@
 /// Loads the cached endpoint list at start.
 ///
 /// Its workers are entered as leaving, so that nothing is sent to them until discovery confirms the list: a worker that
-/// left while no process was running here counts as notified. A list inherited in a hot restart is used at once where
-/// the list is polled, because the predecessor polled discovery itself.
+/// left while no process was running here counts as notified. A list inherited from a predecessor that acts on it is used
+/// at once: the two processes are one scheduler, and have been notified of the same.
 pub(crate) fn load_cached_list(net: &Rc<Net>, inherited: bool) {
-    if inherited && net.config.settings.list_on_request {
+    if inherited {
         net.discovery.confirmation.borrow_mut().confirm();
         return apply_cached_list(net);
     }
--- a/crates/server/src/net/discovery/state.rs
+++ b/crates/server/src/net/discovery/state.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether the endpoint list is acted on.
+    pub(crate) fn is_list_in_use(&self) -> bool {
+        self.confirmation.borrow().is_in_use()
+    }
+
     /// Whether this start reports itself ready although no list was confirmed, because its source has been silent for
     /// too long.
     pub(crate) fn has_reached_ready_limit(&self) -> bool {
--- a/crates/server/src/net/hot_restart/message.rs
+++ b/crates/server/src/net/hot_restart/message.rs
@@ -31,6 +31,9 @@
     #[serde(rename = "under", default)]
     pub(super) fingerprint: u64,
     pub(super) list: Option<Answer>,
+    /// Whether the predecessor acts on the list; absent from an older version, which may not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) list_in_use: Option<bool>,
     #[serde(rename = "learned")]
     pub(super) state: HandoverForm,
     /// The workers that are warming up; empty from an older version, which sends none.
--- a/crates/server/src/net/hot_restart/predecessor.rs
+++ b/crates/server/src/net/hot_restart/predecessor.rs
@@ -101,6 +101,7 @@
     let message = Message {
         fingerprint: configuration_fingerprint(&net.config, net.discovery.address()),
         list: net.discovery.endpoint_list.borrow().snapshot(),
+        list_in_use: Some(net.discovery.is_list_in_use()),
         state: facade.handover_state(now).into(),
         warming: facade
             .warming_workers(now)
--- a/crates/server/src/net/hot_restart/successor.rs
+++ b/crates/server/src/net/hot_restart/successor.rs
@@ -35,6 +35,8 @@
 pub(in super::super) struct Inherited {
     pub listener: TcpListener,
     pub list: Option<Answer>,
+    /// The predecessor acts on the list, and so may this process.
+    pub is_list_in_use: bool,
     pub state: HandoverState,
     pub warming: Vec<WarmingWorker>,
     pub departed: Vec<Rc<str>>,
@@ -103,6 +105,7 @@
     let mut inherited = Inherited {
         listener,
         list: None,
+        is_list_in_use: false,
         state: HandoverState::default(),
         warming: vec![],
         // Operators may exclude any worker that this scheduler ever listed, whatever its configuration was.
@@ -110,6 +113,10 @@
         link,
     };
     if same_configuration {
+        // An older version may act on a pushed list that was never confirmed.
+        let in_use = message.list_in_use;
+        let in_use = in_use.unwrap_or(config.settings.list_on_request);
+        inherited.is_list_in_use = in_use && message.list.is_some();
         inherited.list = message.list;
         inherited.state = message.state.into();
         inherited.warming = message
--- a/crates/server/src/net/serve.rs
+++ b/crates/server/src/net/serve.rs
@@ -102,7 +102,7 @@
     listener_duplicate: io::Result<OwnedFd>,
     /// The connection to the predecessor.
     predecessor: Option<UnixStream>,
-    /// The endpoint list was inherited from the predecessor.
+    /// The endpoint list was inherited from a predecessor that acts on it.
     inherited_list: bool,
 }
 
@@ -122,7 +122,7 @@
         let mut predecessor = None;
         let listener = match inherited {
             Some(inherited) => {
-                inherited_list = inherited.list.is_some();
+                inherited_list = inherited.is_list_in_use;
                 config.cached_list = inherited.list.or(config.cached_list.take());
                 facade.resume_handover_state(clock.now(), &inherited.state);
                 facade.resume_warming(clock.now(), &inherited.warming);
--- a/crates/server/tests/daily/handover.rs
+++ b/crates/server/tests/daily/handover.rs
@@ -13,7 +13,7 @@
 /// Runs a client that sends requests until `stop` is set, on a new connection each or with keep-alive. Returns the
 /// number of served requests, and a description of each failure. A kept connection is replaced after an answer with
 /// `Connection: close`.
-fn run_client(
+pub(super) fn run_client(
     at: SocketAddr,
     name: &str,
     keep_alive: bool,
@@ -54,7 +54,7 @@
 }
 
 /// Ends the clients' loops when dropped. Otherwise the scope would wait for them forever after a failed assertion.
-struct StopOnDrop<'a>(&'a AtomicBool);
+pub(super) struct StopOnDrop<'a>(pub(super) &'a AtomicBool);
 
 impl Drop for StopOnDrop<'_> {
     fn drop(&mut self) {
--- a/crates/server/tests/daily/main.rs
+++ b/crates/server/tests/daily/main.rs
@@ -7,6 +7,7 @@
 mod exclusions;
 mod figures;
 mod handover;
+mod outage;
 
 #[path = "../common/requests.rs"]
 mod requests;
