Use the list of the previous discovery for at most 4 s after a reload

Callers would see: SIGHUP moves discovery to an address that does not answer; a worker that drains by the list there got requests until it answered.

Cause: the previous list was used until the new source answered, without a limit. What that has counts as notified 4 s after SIGHUP.

Change: Confirmation has a state for the move, with a time limit of 4 s less the longest pause of the process; then nothing is sent until the new source answers. A polled source to which no connection comes up has nothing that counts, so that the list is used on.

--- a/crates/server/src/net/discovery/confirmation.rs
+++ b/crates/server/src/net/discovery/confirmation.rs
@@ -8,6 +8,8 @@
 
 use tokio::time::Instant;
 
+use oakshed_core::facade::MAX_PROCESS_PAUSE;
+
 /// How long requests that arrive at a start wait for the first answer of the source, beyond the jitter of the first
 /// call. They are rejected from then on until the list is confirmed.
 const FIRST_ANSWER_ALLOWANCE: Duration = Duration::from_millis(300);
@@ -17,6 +19,11 @@
 /// The same for a shared service, whose answers may take the jitter of the first call and a wait in its queue. Nine in ten
 /// restarted schedulers must be ready within 10 s.
 const SHARED_SERVICE_READY_LIMIT: Duration = Duration::from_secs(9);
+/// When what the source at a new address has counts as notified, after SIGHUP.
+const RELOAD_NOTIFICATION_DEADLINE: Duration = Duration::from_secs(4);
+/// How long the list of the previous source is used after a reload if the new one does not answer.
+const PREVIOUS_LIST_LIMIT: Duration =
+    RELOAD_NOTIFICATION_DEADLINE.saturating_sub(MAX_PROCESS_PAUSE.as_duration());
 /// The number of consecutive failures after which a shared service counts as down.
 const FAILURES_UNTIL_DOWN: u32 = 2;
 
@@ -67,6 +74,14 @@
     },
     /// A list is used.
     InUse,
+    /// The source has moved and has not answered at its new address. The list of the previous one is used.
+    Moved {
+        until: Instant,
+        /// The last call has shown that the shared service is down, so that nothing that it has counts as notified.
+        is_down: bool,
+    },
+    /// The time of `Moved` has passed, and no list is used.
+    Expired,
 }
 
 impl Confirmation {
@@ -82,7 +97,7 @@
         }
     }
 
-    /// Whether a list is acted on.
+    /// Whether a list is acted on that this source has confirmed or could not have changed.
     pub(super) fn is_in_use(&self) -> bool {
         self.state == State::InUse
     }
@@ -93,41 +108,78 @@
         std::mem::replace(&mut self.state, State::InUse) != State::InUse
     }
 
+    /// Processes a move of the source to another address. A list that no source has confirmed stays unconfirmed.
+    pub(super) fn on_move(&mut self, now: Instant) {
+        match &mut self.state {
+            State::Awaiting { failures, .. } => *failures = 0,
+            State::InUse => {
+                self.state = State::Moved {
+                    until: now + PREVIOUS_LIST_LIMIT,
+                    is_down: false,
+                };
+            }
+            // A further move does not extend the use of the list.
+            State::Moved { is_down, .. } => *is_down = false,
+            State::Expired => {}
+        }
+    }
+
     /// Processes a failed or overdue call.
-    pub(super) fn on_failure(&mut self, evidence: Evidence) -> Change {
-        let State::Awaiting { failures, .. } = &mut self.state else {
-            return Change::None;
-        };
+    pub(super) fn on_failure(&mut self, evidence: Evidence, now: Instant) -> Change {
         // What an agent has counts as notified, whether or not it can be called.
         if self.source == ListSource::Agent {
             return Change::None;
         }
-        *failures = match evidence {
-            Evidence::Unreachable => FAILURES_UNTIL_DOWN,
-            Evidence::NoAnswer => *failures + 1,
-        };
-        if *failures < FAILURES_UNTIL_DOWN {
-            return Change::None;
+        match &mut self.state {
+            State::Awaiting { failures, .. } => {
+                *failures = match evidence {
+                    Evidence::Unreachable => FAILURES_UNTIL_DOWN,
+                    Evidence::NoAnswer => *failures + 1,
+                };
+                if *failures < FAILURES_UNTIL_DOWN {
+                    return Change::None;
+                }
+                self.state = State::InUse;
+                Change::UseCached
+            }
+            State::Moved { is_down, .. } => {
+                *is_down = evidence == Evidence::Unreachable;
+                self.expire(now)
+            }
+            State::InUse | State::Expired => Change::None,
         }
-        self.state = State::InUse;
-        Change::UseCached
     }
 
     /// When `on_timer` is due.
     pub(super) fn due_at(&self) -> Option<Instant> {
         match self.state {
             State::Awaiting { hold_until, .. } => hold_until,
-            State::InUse => None,
+            State::Moved { until, .. } => Some(until),
+            State::InUse | State::Expired => None,
         }
     }
 
     /// Processes the end of the time returned by `due_at`.
-    pub(super) fn on_timer(&mut self) -> Change {
-        let State::Awaiting { hold_until, .. } = &mut self.state else {
-            return Change::None;
-        };
-        *hold_until = None;
-        Change::Suspend
+    pub(super) fn on_timer(&mut self, now: Instant) -> Change {
+        match &mut self.state {
+            State::Awaiting { hold_until, .. } => {
+                *hold_until = None;
+                Change::Suspend
+            }
+            State::Moved { .. } => self.expire(now),
+            State::InUse | State::Expired => Change::None,
+        }
+    }
+
+    /// Ends the use of the previous source's list once its time has passed, unless the new source is down.
+    fn expire(&mut self, now: Instant) -> Change {
+        match self.state {
+            State::Moved { until, is_down } if now >= until && !is_down => {
+                self.state = State::Expired;
+                Change::Suspend
+            }
+            _ => Change::None,
+        }
     }
 
     /// Whether the start has waited so long for its source that it reports itself ready, although it rejects requests.
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -21,7 +21,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header::HOST, Request, StatusCode};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep_until, timeout, Instant};
 use tracing::{info, warn};
 
 use super::collect_body::collect_body;
@@ -174,7 +174,9 @@
         // A watch on the old address ends at once, even during a call: that service may stop at any moment, and its
         // updates are stale.
         tokio::select! {
-            _ = address_updates.changed() => {}
+            _ = address_updates.changed() => {
+                net.discovery.confirmation.borrow_mut().on_move(Instant::now());
+            }
             () = Watch::new(&discovery, settings, seed).run(&mut generation, at_once) => {}
             () = limit_unconfirmed_use(&net) => {}
         }
@@ -190,7 +192,11 @@
     let due_at = net.discovery.confirmation.borrow().due_at();
     if let Some(at) = due_at {
         sleep_until(at).await;
-        let change = net.discovery.confirmation.borrow_mut().on_timer();
+        let change = net
+            .discovery
+            .confirmation
+            .borrow_mut()
+            .on_timer(Instant::now());
         carry_out(net, change);
     }
     pending::<()>().await;
@@ -320,7 +326,7 @@
             .discovery
             .confirmation
             .borrow_mut()
-            .on_failure(evidence);
+            .on_failure(evidence, Instant::now());
         carry_out(self.net, change);
     }
 }
--- a/crates/server/src/net/discovery/state.rs
+++ b/crates/server/src/net/discovery/state.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Whether the endpoint list is acted on.
+    /// Whether the endpoint list is acted on, and its present source has confirmed it or could not have changed it.
     pub(crate) fn is_list_in_use(&self) -> bool {
         self.confirmation.borrow().is_in_use()
     }
--- a/crates/server/tests/sockets/unresponsive_agent.rs
+++ b/crates/server/tests/sockets/unresponsive_agent.rs
@@ -1,7 +1,8 @@
-//! Starts while the agent that pushes the endpoint list gives no usable answer.
+//! Starts and reloads while the agent that pushes the endpoint list gives no usable answer.
 //!
 //! What the agent has counts as notified from the first moment of a process, so nothing may be sent by the cached list.
 //! The process becomes ready in time all the same, rejects what it cannot send, and serves as soon as the agent answers.
+//! What an agent at a new address has counts as notified 4 s after SIGHUP.
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -19,6 +20,11 @@
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// The longest that a request may take to be rejected, and a served one once the agent answers.
 const PROMPT: Duration = Duration::from_secs(1);
+/// What discovery at a new address has counts as notified this long after SIGHUP.
+const RELOAD_LIMIT: Duration = Duration::from_secs(4);
+/// How long after that a request may still be on its way to a worker: the grace of the settings, 50 ms for sockets and as
+/// much for the test.
+const DRAIN_GRACE: Duration = Duration::from_millis(400);
 const MALFORMED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 
 /// What the agent writes to each call while it is down.
@@ -187,3 +193,86 @@
         }
     });
 }
+
+/// Starts a process that serves by a first source, moves it to `new` with SIGHUP, and returns it.
+fn start_and_move(old: &Discovery, new: SocketAddr, is_pushed: bool) -> StartingProcess {
+    let path = config(old.peer.address, &old.known(), 1024);
+    if is_pushed {
+        edit(&path, &[PUSHED]);
+    }
+    let process = StartingProcess::start(&path, &[]);
+    process.until_ready();
+    edit(&path, &[(&old.peer.address.to_string(), &new.to_string())]);
+    process.signal("-HUP");
+    process
+}
+
+/// Guards against jobs sent to a worker that drains after a reload: the list of the previous source was used until the
+/// new one answered, however long that took.
+#[test]
+fn previous_list_is_used_for_at_most_four_seconds_after_a_reload() {
+    std::thread::scope(|s| {
+        for (outage, is_pushed) in [
+            (Outage::Unresponsive, true),
+            (Outage::Closing, true),
+            (Outage::Answering(BUSY), true),
+            (Outage::Unresponsive, false),
+            (Outage::Answering(MALFORMED), false),
+        ] {
+            s.spawn(move || {
+                let context = format!("{outage:?}, pushed: {is_pushed}");
+                let fleet = Fleet::new();
+                let workers = [
+                    ("s-1", fleet.draining.address),
+                    ("s-2", fleet.ready.address),
+                ];
+                let agent = Agent::new(outage, fleet.current.clone());
+                let old = Discovery::new(&workers);
+                let process = start_and_move(&old, agent.peer.address, is_pushed);
+                let moved = Instant::now();
+                let mut number = 0;
+                let mut last_sent = Duration::ZERO;
+                until("a rejection", || {
+                    number += 1;
+                    let before = fleet.draining.count();
+                    let status = process.transfer(&format!("moved-{number}"));
+                    if fleet.draining.count() > before {
+                        last_sent = moved.elapsed();
+                    }
+                    status == Some(503)
+                });
+                assert!(
+                    last_sent < RELOAD_LIMIT + DRAIN_GRACE,
+                    "{last_sent:?}, {context}"
+                );
+                let sent = fleet.draining.count();
+                for number in 0..20 {
+                    assert_rejected_at_once(&process, &format!("expired-{number}"), &context);
+                }
+                agent.bring_up();
+                let took = time_until_served(&process);
+                assert!(
+                    !is_pushed || took < PROMPT,
+                    "served after {took:?}, {context}"
+                );
+                assert_eq!(fleet.draining.count(), sent, "{context}");
+            });
+        }
+    });
+}
+
+/// A polled service that is down has nothing that counts as notified, so that requests are served through its outage.
+#[test]
+fn previous_list_is_used_while_polled_discovery_is_down_after_a_reload() {
+    let worker = good();
+    let old = Discovery::new(&[("s-1", worker.address)]);
+    let closed = ReservedPort::new();
+    let process = start_and_move(&old, closed.address, false);
+    let moved = Instant::now();
+    let mut number = 0;
+    until("the end of the time limit", || {
+        number += 1;
+        assert_eq!(process.transfer(&format!("id-{number}")), Some(200));
+        moved.elapsed() > RELOAD_LIMIT + PROMPT
+    });
+}
