Believe a fence's `never` only by a list that its present source has confirmed

Callers would see: a transfer that ran is rejected with 503, and runs again as its client repeats it. A worker dies amid the job, SIGHUP moves discovery, and another worker is started at the address before the new discovery has answered.

Cause: `never` counted where the list named the worker alone at its address, also where that list was the previous discovery's.

Change: start_fence asks is_list_in_use too, after the call. Until the new discovery answers, such a reply counts as none, and the fence is repeated.

Measured: list_of_the_source_before_a_reload_proves_nothing gave 503 in place of 502 without the change; now the 4 tests of durable_fences pass.

--- a/crates/server/src/net/durable/mod.rs
+++ b/crates/server/src/net/durable/mod.rs
@@ -286,7 +286,7 @@
             durable
                 .fences_in_progress
                 .set(durable.fences_in_progress.get() - calls);
-            let confirmed = confirmed && is_from_worker;
+            let confirmed = confirmed && is_from_worker && net.discovery.is_list_in_use();
             let facade = &mut net.facade.borrow_mut();
             let mut jobs = durable.jobs.borrow_mut();
             jobs.on_fence_reply(net.clock.now(), id, token, reply, confirmed, facade);
--- a/crates/server/tests/durable_fences.rs
+++ b/crates/server/tests/durable_fences.rs
@@ -68,6 +68,17 @@
 
 /// Runs the scenario. `list_other` is called once the other worker runs at the address of the first one.
 fn fence_reaches_another_worker(name: &str, list_other: impl FnOnce(&Discovery)) {
+    let remove_first = |discovery: &Discovery, _: &Program| discovery.set("s-1", "gone");
+    fence_after(name, remove_first, list_other);
+}
+
+/// Runs the scenario. `on_death` is called once the first worker has died, and `list_other` once the other one runs at its
+/// address.
+fn fence_after(
+    name: &str,
+    on_death: impl FnOnce(&Discovery, &Program),
+    list_other: impl FnOnce(&Discovery),
+) {
     let dir = TestDir::new(name);
     let port = ReservedPort::new();
     let at = port.address;
@@ -83,7 +94,7 @@
         let answer = scope.spawn(|| program.send(&request));
         until("the start of the job", || first.starts() == 1);
         drop(first);
-        discovery.set("s-1", "gone");
+        on_death(&discovery, &program);
         let second = WorkerProcess::start(at, &dir.0.join("s-2"));
         list_other(&discovery);
         let answer = answer.join().expect("no panic");
@@ -119,3 +130,17 @@
         discovery.set("s-1", "draining");
     });
 }
+
+/// Guards against a transfer that is run again because the list of a previous source still names its worker at the
+/// address: after a reload, the new source may know better until it has answered.
+#[test]
+fn list_of_the_source_before_a_reload_proves_nothing() {
+    let unresponsive = Peer::new(|_, _| true);
+    let reload = |old: &Discovery, program: &Program| {
+        let new = unresponsive.address.to_string();
+        program.reload(&old.peer.address.to_string(), &new);
+        until("the reload", || program.log().contains("reload: discovery"));
+        until("a call at the new address", || unresponsive.count() >= 1);
+    };
+    fence_after("fence-reload", reload, |_| {});
+}
