Use a polled list unconfirmed only if discovery is down

Callers would see: a worker drains while a scheduler is not running; at the start discovery is up, but two calls get no usable answer, and requests went to that worker until a later call was answered.

Cause: any two failures in a row let the cached list in. A call fails with 503 or a reset 'because it waited too long or because discovery is down', so only one that fails at once shows that discovery is down. Silence, a 503 after a wait, half an answer and a malformed one show nothing of the kind.

Change: a failure is classified (Failure::evidence). No connection, or two calls in a row that were rejected or reset at once, let a polled list in; the rest do not, at a start and after a reload.

--- a/crates/server/src/net/discovery/confirmation.rs
+++ b/crates/server/src/net/discovery/confirmation.rs
@@ -24,8 +24,8 @@
 /// How long the list of the previous source is used after a reload if the new one does not answer.
 const PREVIOUS_LIST_LIMIT: Duration =
     RELOAD_NOTIFICATION_DEADLINE.saturating_sub(MAX_PROCESS_PAUSE.as_duration());
-/// The number of consecutive failures after which a shared service counts as down.
-const FAILURES_UNTIL_DOWN: u32 = 2;
+/// The number of consecutive calls that a shared service has to reject at once before it counts as down.
+const REJECTIONS_UNTIL_DOWN: u32 = 2;
 
 /// Where the endpoint list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,8 +41,10 @@
 pub(super) enum Evidence {
     /// No connection could be established.
     Unreachable,
-    /// The source can be reached, but gave no usable answer.
-    NoAnswer,
+    /// The call was reset or rejected at once. A shared service that is up does so only after a wait in its queue.
+    RejectedAtOnce,
+    /// The source may have an update: it is unresponsive or overloaded, or its answer was incomplete or malformed.
+    Inconclusive,
 }
 
 /// What has to change in the rest of the server.
@@ -68,7 +70,8 @@
 enum State {
     /// The source has not answered since the start, and no list is used.
     Awaiting {
-        failures: u32,
+        /// Consecutive calls that were rejected at once.
+        rejections: u32,
         /// Until when requests wait for the first answer; `None` once they are rejected.
         hold_until: Option<Instant>,
     },
@@ -91,7 +94,7 @@
             source,
             started_at: now,
             state: State::Awaiting {
-                failures: 0,
+                rejections: 0,
                 hold_until: Some(now + first_call_jitter + FIRST_ANSWER_ALLOWANCE),
             },
         }
@@ -111,7 +114,7 @@
     /// Processes a move of the source to another address. A list that no source has confirmed stays unconfirmed.
     pub(super) fn on_move(&mut self, now: Instant) {
         match &mut self.state {
-            State::Awaiting { failures, .. } => *failures = 0,
+            State::Awaiting { rejections, .. } => *rejections = 0,
             State::InUse => {
                 self.state = State::Moved {
                     until: now + PREVIOUS_LIST_LIMIT,
@@ -131,19 +134,20 @@
             return Change::None;
         }
         match &mut self.state {
-            State::Awaiting { failures, .. } => {
-                *failures = match evidence {
-                    Evidence::Unreachable => FAILURES_UNTIL_DOWN,
-                    Evidence::NoAnswer => *failures + 1,
+            State::Awaiting { rejections, .. } => {
+                *rejections = match evidence {
+                    Evidence::Unreachable => REJECTIONS_UNTIL_DOWN,
+                    Evidence::RejectedAtOnce => *rejections + 1,
+                    Evidence::Inconclusive => 0,
                 };
-                if *failures < FAILURES_UNTIL_DOWN {
+                if *rejections < REJECTIONS_UNTIL_DOWN {
                     return Change::None;
                 }
                 self.state = State::InUse;
                 Change::UseCached
             }
             State::Moved { is_down, .. } => {
-                *is_down = evidence == Evidence::Unreachable;
+                *is_down = evidence != Evidence::Inconclusive;
                 self.expire(now)
             }
             State::InUse | State::Expired => Change::None,
--- a/crates/server/src/net/discovery/mod.rs
+++ b/crates/server/src/net/discovery/mod.rs
@@ -32,7 +32,7 @@
 use error::CallError;
 use oakshed_core::facade::{Condition, Entry, ListKind, Micros, Observation};
 pub(crate) use state::DiscoveryState;
-use watch::Watch;
+use watch::{Failure, Watch};
 
 const ENDPOINTS_PATH: &str = "/v1/endpoints";
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -168,7 +168,6 @@
         let discovery = DiscoveryClient {
             net: &net,
             address,
-            unreachable: Cell::new(false),
             failing: Cell::new(false),
         };
         // A watch on the old address ends at once, even during a call: that service may stop at any moment, and its
@@ -206,8 +205,6 @@
 struct DiscoveryClient<'a> {
     net: &'a Rc<Net>,
     address: SocketAddr,
-    /// The last attempt to connect has failed.
-    unreachable: Cell<bool>,
     /// The last call has failed.
     failing: Cell<bool>,
 }
@@ -224,15 +221,11 @@
         self.net.counters.discovery.calls.increment();
         let mut connection = match connection.filter(|connection| !connection.is_dead()) {
             Some(connection) => connection,
-            None => {
-                self.unreachable.set(true);
-                timeout(CONNECT_TIMEOUT, Connection::dial(self.address))
-                    .await
-                    .map_err(|_| CallError::ConnectTimeout)?
-                    .map_err(CallError::Connect)?
-            }
+            None => timeout(CONNECT_TIMEOUT, Connection::dial(self.address))
+                .await
+                .map_err(|_| CallError::ConnectTimeout)?
+                .map_err(CallError::Connect)?,
         };
-        self.unreachable.set(false);
         // From the moment an update arrives it counts as notified, so the write guard of attempts checks this socket
         // for unread updates until the call ends. The caller applies the answer without yielding after that.
         let _watch = self.net.workers.track_watch(&connection);
@@ -293,23 +286,19 @@
 
     fn on_overdue(&self) {
         self.net.counters.discovery.unresponsive_watches.increment();
-        self.count_failure(Evidence::NoAnswer);
+        self.count_failure(Evidence::Inconclusive);
     }
 
-    fn on_failure(&self, error: &CallError, overloaded: bool) {
-        let evidence = if self.unreachable.get() {
-            Evidence::Unreachable
-        } else {
-            Evidence::NoAnswer
-        };
-        self.count_failure(evidence);
+    fn on_failure(&self, failure: &Failure) {
+        self.count_failure(failure.evidence());
         self.net.counters.discovery.failures.increment();
         // Logs the first of consecutive failures only: with a pushed list, discovery that is down is called many
         // times a second.
         if !self.failing.replace(true) {
+            let error = &failure.error;
             warn!(%error, "discovery call failed: {error}");
         }
-        let kind = if overloaded {
+        let kind = if failure.is_overload() {
             ListKind::Overloaded
         } else {
             ListKind::Failed
--- a/crates/server/src/net/discovery/watch.rs
+++ b/crates/server/src/net/discovery/watch.rs
@@ -7,8 +7,10 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use super::confirmation::Evidence;
 use super::error::CallError;
 use crate::list::Answer;
 use oakshed_core::facade::{Micros, Settings, NOTIFICATION_DEADLINE};
@@ -24,7 +26,8 @@
 /// How late the answer of an established watch may be in any case. More is allowed for queueing at discovery, see
 /// `Watch::overdue_after`.
 const MIN_DELAY_ALLOWANCE: Duration = Duration::from_millis(300);
-/// A call rejected after this time was waiting in discovery's queue, and was not served within the time limit there.
+/// A call rejected after this time was waiting in discovery's queue, and was not served within the time limit there. One
+/// rejected sooner shows that discovery is down.
 const OVERLOAD_WAIT: Duration = Duration::from_secs(1);
 /// How much sooner a watch is overdue, in proportion to the part of its hold above `MIN_HOLD`: leaves
 /// `MIN_DELAY_ALLOWANCE` at `MAX_HOLD`.
@@ -59,22 +62,40 @@
     fn on_overdue(&self);
     /// Called when the watch has failed. The facade decides when to poll again, and waits longer if discovery was
     /// overloaded.
-    fn on_failure(&self, error: &CallError, overloaded: bool);
+    fn on_failure(&self, failure: &Failure);
 }
 
 /// Why a poll failed.
-struct Failure {
-    error: CallError,
-    /// The call was rejected after it had waited in discovery's queue.
-    is_overload: bool,
+pub(super) struct Failure {
+    pub(super) error: CallError,
+    /// The call ended after a time that a call may wait in discovery's queue.
+    has_waited: bool,
 }
 
 impl Failure {
     /// No call was answered within its time limit.
     const TIMEOUT: Failure = Failure {
         error: CallError::Timeout,
-        is_overload: false,
+        has_waited: true,
     };
+
+    /// Whether the call was rejected after it had waited in discovery's queue.
+    pub(super) fn is_overload(&self) -> bool {
+        self.has_waited && matches!(self.error, CallError::Status(_))
+    }
+
+    /// What the failure shows about discovery.
+    pub(super) fn evidence(&self) -> Evidence {
+        match self.error {
+            CallError::ConnectTimeout | CallError::Connect(_) => Evidence::Unreachable,
+            CallError::Connection(_) | CallError::Status(StatusCode::SERVICE_UNAVAILABLE)
+                if !self.has_waited =>
+            {
+                Evidence::RejectedAtOnce
+            }
+            _ => Evidence::Inconclusive,
+        }
+    }
 }
 
 /// The sequence of calls to discovery at one address.
@@ -140,8 +161,7 @@
                     sleep_until(called_at + pause).await;
                 }
             };
-            self.discovery
-                .on_failure(&failure.error, failure.is_overload);
+            self.discovery.on_failure(&failure);
         }
     }
 
@@ -251,14 +271,14 @@
     }
 }
 
-/// Makes a call and, if it is rejected, decides by its own waiting time whether discovery is overloaded. Each hedged
-/// call is timed separately: that one is rejected at once shows nothing about an earlier one.
+/// Makes a call and, if it fails, decides by its own waiting time whether it may have waited in discovery's queue. Each
+/// hedged call is timed separately: that one is rejected at once shows nothing about an earlier one.
 async fn classify_failure<T>(
     call: impl Future<Output = Result<T, CallError>>,
 ) -> Result<T, Failure> {
     let called_at = Instant::now();
     call.await.map_err(|error| Failure {
-        is_overload: matches!(error, CallError::Status(_)) && called_at.elapsed() >= OVERLOAD_WAIT,
+        has_waited: called_at.elapsed() >= OVERLOAD_WAIT,
         error,
     })
 }
