Leave new connections to the predecessor until a successor can serve

Callers saw: a hot restart amid an outage of the agent in which the successor does not go on with its predecessor's list (another configuration, or an older version). Both accept from one queue, and the successor rejected what came to it, although the predecessor served.

Cause: a successor accepted from its start on, whether or not it could serve.

Change: front/takeover.rs. While the predecessor runs and this process cannot serve, it accepts only connections that were in the queue for 0.25 s, as the predecessor may hang or be closing. A successor notices now that its predecessor has exited also before it can serve.

Not taken: to wait for the predecessor's exit alone, as one that closes after SIGTERM accepts nothing for as long as its last requests take.

--- a/crates/server/src/net/front/mod.rs
+++ b/crates/server/src/net/front/mod.rs
@@ -14,6 +14,7 @@
 mod handle;
 mod lingering_close;
 mod request;
+mod takeover;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 use clients::{close_overdue, Client, Clients};
 use connection::{final_response, serve_connection};
 pub(crate) use lingering_close::lingering_close;
+use takeover::Acceptor;
 
 /// The most established connections that the kernel queues for accept.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -65,6 +67,7 @@
     let mut handed_over = net.shutdown.handed_over.subscribe();
     let mut handed_over = pin!(handed_over.wait_for(|handed_over| *handed_over));
     let mut backoff = AcceptBackoff::default();
+    let mut acceptor = Acceptor::default();
     loop {
         // At the limit, nothing is accepted until a connection has closed or been evicted.
         while !clients.has_capacity(net.client_share()) {
@@ -78,7 +81,7 @@
             }
         }
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = acceptor.accept(net, &listener) => accepted,
             _ = &mut closing => break,
             // The successor accepts from the same queue, so the queue is not drained here.
             _ = &mut handed_over => {
--- a/crates/server/src/net/hot_restart/mod.rs
+++ b/crates/server/src/net/hot_restart/mod.rs
@@ -62,6 +62,11 @@
         1 + usize::from(self.has_predecessor.get()) + usize::from(self.has_successor.get())
     }
 
+    /// Whether the predecessor still runs.
+    pub(super) fn has_predecessor(&self) -> bool {
+        self.has_predecessor.get()
+    }
+
     /// Whether a successor is connected and can serve.
     pub(super) fn has_ready_successor(&self) -> bool {
         self.has_successor.get() && self.successor_ready.get()
@@ -122,21 +127,30 @@
 ) -> Result<(), HotRestartError> {
     link.set_nonblocking(true)?;
     let mut link = RetryingStream::new(UnixStream::from_std(link)?);
-    while !net.can_serve() {
-        tokio::time::sleep(POLL_PERIOD).await;
-    }
+    // The predecessor sends nothing more: a read returns when it exits, with end of file or an error.
+    let mut unused = [0; 1];
+    let can_serve = tokio::select! {
+        () = until_can_serve(net) => true,
+        _ = link.read(&mut unused) => false,
+    };
     tokio::task::spawn_local(await_successor(net.clone(), directory.clone()));
     // A failed write means that the predecessor has already exited.
-    let notified = link.write_all(READY.as_bytes()).await;
+    let notified = can_serve && link.write_all(READY.as_bytes()).await.is_ok();
     net.hot_restart.predecessor_unnotified.set(false);
-    if notified.is_ok() {
-        // The predecessor sends nothing more: the read returns when it exits, with end of file or an error.
-        _ = link.read(&mut [0; 1]).await;
+    if notified {
+        _ = link.read(&mut unused).await;
     }
     info!("hot restart: the predecessor has exited");
     Ok(())
 }
 
+/// Returns once this process can serve.
+async fn until_can_serve(net: &Net) {
+    while !net.can_serve() {
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+}
+
 /// Waits for successors to connect. After each connection ends, this process binds its socket in the directory again,
 /// because the other process may have put its own there.
 async fn await_successor(net: Rc<Net>, directory: Rc<SharedDirectory>) {
