Hand over only a list that is in use, and hold polled requests for a quarter

Callers would see: after a reload whose discovery has not answered, a successor of an older version used the list handed over at once where lists are polled, as it ignores list_in_use. A predecessor now hands over no list that is not in use.

At a start with a cached list, requests were held for the jitter of a start without one (7 s among 300 schedulers); the first call is made within a quarter (1.5 s at most).

--- a/crates/core/tests/mechanism/list.rs
+++ b/crates/core/tests/mechanism/list.rs
@@ -27,6 +27,35 @@
     }
 }
 
+/// Guards against requests that wait for the confirmation of a list, for an unknown time: those that are queued when the
+/// list becomes unconfirmed are rejected, and so are later ones, until a list is confirmed. Attempts in flight go on.
+#[test]
+fn requests_are_rejected_while_the_list_is_unconfirmed() {
+    let mut harness = Harness::new(settings(), 1);
+    let (running, actions) = harness.request(0);
+    assert_eq!(sent_to(&actions, running), Some(WorkerId(0)));
+    let leaving = Row {
+        condition: Condition::Leaving,
+        ..row(0)
+    };
+    harness.list(ListKind::Delta, &[leaving]);
+    let (queued, actions) = harness.request(0);
+    assert!(!rejected(&actions, queued), "{actions:?}");
+    let actions = harness.list(ListKind::Unconfirmed, &[leaving]);
+    assert!(rejected(&actions, queued) && !rejected(&actions, running));
+    let (late, actions) = harness.request(0);
+    assert!(rejected(&actions, late));
+    // An update from a peer confirms nothing.
+    harness.list(ListKind::Delta, &[leaving]);
+    let (later, actions) = harness.request(0);
+    assert!(rejected(&actions, later));
+    let actions = harness.settled(running, 0, Ending::Delivered);
+    assert!(!rejected(&actions, running) && !failed(&actions, running));
+    harness.list(ListKind::Snapshot, &[row(0)]);
+    let (served, actions) = harness.request(0);
+    assert_eq!(sent_to(&actions, served), Some(WorkerId(0)));
+}
+
 /// Where the list is pushed, the settings contain no poll interval. With sockets the list is watched by calls even
 /// then, which must not be repeated in a tight loop while discovery is down.
 #[test]
--- a/crates/server/src/net/discovery/tests.rs
+++ b/crates/server/src/net/discovery/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the watch on the endpoint list, with whole fleets in virtual time and every pair of faults.
 
+mod confirmation;
 mod fleet;
 
 use std::time::Duration;
--- a/crates/server/src/net/hot_restart/predecessor.rs
+++ b/crates/server/src/net/hot_restart/predecessor.rs
@@ -98,10 +98,13 @@
 fn message_text(net: &Net) -> Result<String, HotRestartError> {
     let now = net.clock.now();
     let facade = net.facade.borrow();
+    let list = net.discovery.endpoint_list.borrow().snapshot();
+    // Older versions use any list that they get where lists are polled.
+    let list = list.filter(|_| net.discovery.is_list_in_use());
     let message = Message {
         fingerprint: configuration_fingerprint(&net.config, net.discovery.address()),
-        list: net.discovery.endpoint_list.borrow().snapshot(),
-        list_in_use: Some(net.discovery.is_list_in_use()),
+        list_in_use: Some(list.is_some()),
+        list,
         state: facade.handover_state(now).into(),
         warming: facade
             .warming_workers(now)
--- a/crates/server/src/net/mod.rs
+++ b/crates/server/src/net/mod.rs
@@ -46,7 +46,7 @@
 pub(crate) use clock::{wall_clock, Clock};
 use counters::Counters;
 pub use error::{ListenError, ServeError};
-use oakshed_core::facade::{Entry, Facade, ListKind, Observation, Step};
+use oakshed_core::facade::{Entry, Facade, ListKind, Micros, Observation, Step};
 use oakshed_core::figures::RequestCounts;
 pub use serve::serve;
 use shutdown::Shutdown;
@@ -95,13 +95,18 @@
         executed_ids: Rc<executed_ids::ExecutedIds>,
         durable: Option<durable::DurableJobs>,
     ) -> Net {
+        // A process that has a list spreads its first call over a quarter only.
+        let first_call_jitter = match config.cached_list {
+            Some(_) => config.settings.poll_quarter().as_micros(),
+            None => Micros::MAX,
+        };
         Net {
             clock,
             workers: workers::Workers::new(clock, &config.settings),
             discovery: discovery::DiscoveryState::new(
                 config.discovery,
                 &config.settings,
-                facade.poll_jitter(),
+                facade.poll_jitter().min(first_call_jitter),
             ),
             shutdown: Shutdown::new(clock),
             counters: Counters::default(),
