Give each valid request of a malformed-input test an id of its own

Cause, in the test: it sent the id 'before' seven times. Where it ran and came again within 10 s, it got 409, which counts among bad_requests: the failed run has id_executed=1 and 15, a run that passes id_executed=0 and 14. Whether it runs depends on which of it and the malformed input behind it is read first.

Change: an id of its own for each, so that no 409 can come; the bounds and the other checks are as they were.

--- a/crates/server/tests/sockets/malformed.rs
+++ b/crates/server/tests/sockets/malformed.rs
@@ -231,7 +231,7 @@
     assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
     assert_eq!(send_on(&mut client, body).status(), 200);
     let before = worker.count();
-    for invalid in [
+    let invalid_requests = [
         text("nul").replace("storholt", "stor\0holt"),
         text("nul-id").replace("nul-id", "nul\0id"),
         text("no-version").replace(" HTTP/1.1", ""),
@@ -239,8 +239,9 @@
         "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_owned(),
         text("target").replace("POST /transfer", "POST transfer"),
         with("long", &format!("X: {}", "x".repeat(9_000))),
-    ] {
-        let answer = response_text(&program, &[&invalid]);
+    ];
+    for (number, invalid) in invalid_requests.iter().enumerate() {
+        let answer = response_text(&program, &[invalid]);
         let is_one_error =
             answer.starts_with("HTTP/1.1 4") && answer.matches("HTTP/1.").count() == 1;
         assert!(
@@ -249,7 +250,9 @@
             &invalid[..invalid.len().min(400)]
         );
         // Behind a valid request it ends the connection, before or after the answer to that request.
-        let answer = response_text(&program, &[&text("before"), &invalid]);
+        // Each with an id of its own: one that has run is rejected with 409 for 10 s, which counts as invalid too.
+        let valid = text(&format!("before-{number}"));
+        let answer = response_text(&program, &[&valid, invalid]);
         assert!(
             answer.matches(" 200 OK").count() <= 1,
             "{answer} to {}",
@@ -258,7 +261,9 @@
     }
     let seen = worker.seen.lock().unwrap()[before..].to_vec();
     assert!(
-        seen.iter().all(|m| m.field("req-id") == Some("before")),
+        seen.iter().all(|m| m
+            .field("req-id")
+            .is_some_and(|id| id.starts_with("before-"))),
         "{seen:?}"
     );
     program.signal("-TERM");
