Let discovery be down, not mute, where durable schedulers start with a saved list

Seen: durable_jobs_are_served_after_kills_with_a_known_list_and_without failed since: a scheduler with polled lists was to serve by its saved list while discovery accepted calls and answered none.

Cause, in the scenario: it asked for the fault that mended.

Change: discovery is down in its place (connections are reset, new ones too), and the saved list still has to serve without it. That a mute one lets nothing be sent is checked by draining_worker_gets_nothing_until_polled_discovery_answers.

--- a/crates/core/src/scheduler/admission.rs
+++ b/crates/core/src/scheduler/admission.rs
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Rejects all queued requests while no worker may be used until the endpoint list is confirmed: how long that
-    /// takes is unknown, and elsewhere they may be served.
+    /// Rejects all queued requests while no worker may be used until the endpoint list is
+    /// confirmed: how long that takes is unknown, and elsewhere they may be served.
     pub(super) fn reject_undispatchable(&mut self) {
         if !self.awaits_confirmation {
             return;
--- a/crates/trials/src/scenarios/processes.rs
+++ b/crates/trials/src/scenarios/processes.rs
@@ -157,10 +157,10 @@
     list: CachedList,
 ) -> Result<Duration, TrialError> {
     world.kill(s).await;
-    // A scheduler with a list needs no discovery to serve new requests: discovery is mute until then.
-    world.discovery.mute(list == CachedList::Saved);
+    // A scheduler with a list serves new requests while discovery is down.
+    world.discovery.down(list == CachedList::Saved);
     world.start(s, list)?;
     let took = wait_until_serving(world, &[s]).await?;
-    world.discovery.mute(false);
+    world.discovery.down(false);
     Ok(took)
 }
