--- a/crates/server/src/net/discovery/confirmation.rs
+++ b/crates/server/src/net/discovery/confirmation.rs
@@ -186,7 +186,7 @@
         }
     }
 
-    /// Whether the start has waited so long for its source that it reports itself ready, although it rejects requests.
+    /// Whether the start has reached the time at which it reports itself ready, although it still rejects requests.
     pub(super) fn has_reached_ready_limit(&self, now: Instant) -> bool {
         let limit = match self.source {
             ListSource::Agent => AGENT_READY_LIMIT,
--- a/crates/server/tests/daily/outage.rs
+++ b/crates/server/tests/daily/outage.rs
@@ -78,7 +78,7 @@
     assert_eq!(workers[1].count(), 0, "jobs at the draining worker");
 }
 
-/// Guards against a successor that accepts connections and rejects what comes on them, as it has no list that it may act on,
+/// Guards against a successor that accepts connections and rejects their requests, as it has no list that it may act on,
 /// while its predecessor serves. Once that has ended, the successor answers at once.
 #[test]
 fn successor_without_a_usable_list_accepts_nothing_beside_its_predecessor() {
--- a/crates/server/tests/sockets/unresponsive_agent.rs
+++ b/crates/server/tests/sockets/unresponsive_agent.rs
@@ -35,7 +35,7 @@
     Unresponsive,
     Closing,
     Answering(&'static str),
-    /// Calls are rejected after they have waited for their turn in vain.
+    /// Calls are rejected after a wait in the queue.
     Overloaded,
 }
 
--- a/crates/server/tests/sockets/workers.rs
+++ b/crates/server/tests/sockets/workers.rs
@@ -94,9 +94,11 @@
     until("the close of its connections", || {
         connections(workers[0].address, "01") == 0
     });
+    let took = notified.elapsed();
     assert!(
-        notified.elapsed().as_millis() < 2_000,
-        "a drained worker's connections were kept as long as others"
+        took.as_millis() < 2_000,
+        "a drained worker's connections were kept as long as others: {took:?}\n{}",
+        program.log()
     );
     let before = workers[0].count();
     assert_all_served(&program, "id", 0..10);
